--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -27,8 +27,9 @@
       tenants_(std::move(tenants)),
       kinds_(settings.classes),
       shed_(std::move(shed)),
-      listener_(loop, [this] { return MayAccept(); },
-                [this](net::ObjectPtr<GSocket> socket) { Accepted(std::move(socket)); }),
+      listener_(
+          loop, [this] { return MayAccept(); },
+          [this](net::ObjectPtr<GSocket> socket) { Accepted(std::move(socket)); }),
       sweep_(loop),
       drain_(loop) {
   sweep_.After(kSweepEvery, [this] { Sweep(); });
--- a/src/front/session.cpp
+++ b/src/front/session.cpp
@@ -225,7 +225,9 @@
   AnswerError("53300", "too much to do to answer in time", ms > 0 ? std::to_string(ms) : std::string());
 }
 
-void Session::Failed() { AnswerError("58000", "no data server has answered; whether it has run is not known"); }
+void Session::Failed() {
+  AnswerError("58000", "no data server has answered; whether it has run is not known");
+}
 
 void Session::AnswerError(std::string_view code, std::string_view message, std::string_view detail) {
   std::string out;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -124,10 +124,11 @@
 
   void Report() {
     const auto& n = proxy_.counts();
-    spdlog::info("requests {}: served {}, refused {}, failed {}, withdrawn {}; attempts {}, probes {}; now {} "
-                 "open, {} clients, {} backends ({} idle)",
-                 n.taken, n.served, n.refused, n.failed, n.withdrawn, n.attempts, n.probes, proxy_.open(),
-                 budget_.clients(), budget_.backends(), pool_.idle());
+    spdlog::info(
+        "requests {}: served {}, refused {}, failed {}, withdrawn {}; attempts {}, probes {}; now {} "
+        "open, {} clients, {} backends ({} idle)",
+        n.taken, n.served, n.refused, n.failed, n.withdrawn, n.attempts, n.probes, proxy_.open(),
+        budget_.clients(), budget_.backends(), pool_.idle());
     report_.After(kReportEvery, [this] { Report(); });
   }
 
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -27,9 +27,9 @@
  public:
   class Owner {
    public:
-    virtual void OnUp() {}         // a connection that was opened is up
+    virtual void OnUp() {}          // a connection that was opened is up
     virtual void OnReadable() = 0;  // the incoming ring has grown
-    virtual void OnWritten() {}    // the outgoing ring has run empty
+    virtual void OnWritten() {}     // the outgoing ring has run empty
     virtual void OnPeerDone() = 0;  // the peer sends no more; what came before has been read
     virtual void OnBroken() = 0;    // refused, reset or hung up: nothing can be sent or read any more
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -9,9 +9,9 @@
 Loop* g_loop = nullptr;
 std::chrono::steady_clock::time_point SteadyNow() { return std::chrono::steady_clock::now(); }
 
-GSourceFuncs kPlainSource = {nullptr, nullptr,
-                             [](GSource*, GSourceFunc call, gpointer data) { return call(data); },
-                             nullptr, nullptr, nullptr};
+GSourceFuncs kPlainSource = {
+    nullptr, nullptr, [](GSource*, GSourceFunc call, gpointer data) { return call(data); },
+    nullptr, nullptr, nullptr};
 
 }  // namespace
 
--- a/src/pg/message.cpp
+++ b/src/pg/message.cpp
@@ -5,8 +5,8 @@
 namespace peatridge::pg {
 namespace {
 
-constexpr std::size_t kHead = 5;         // type and length
-constexpr std::size_t kStartupHead = 4;  // length alone
+constexpr std::size_t kHead = 5;             // type and length
+constexpr std::size_t kStartupHead = 4;      // length alone
 constexpr std::size_t kMostStartup = 10000;  // as PostgreSQL itself limits it
 constexpr std::uint32_t kCancelCode = 80877102;
 constexpr std::uint32_t kSslCode = 80877103;
@@ -171,7 +171,8 @@
 void AppendStartup(std::string& out, std::string_view user, std::string_view database) {
   std::string body;
   PutU32(body, 3u << 16);
-  for (const std::string_view text : {std::string_view("user"), user, std::string_view("database"), database}) {
+  for (const std::string_view text :
+       {std::string_view("user"), user, std::string_view("database"), database}) {
     body += text;
     body += '\0';
   }
--- a/src/upstream/backend.cpp
+++ b/src/upstream/backend.cpp
@@ -96,9 +96,7 @@
   return pg::ReadOneValue(*row_)->value.value_or(std::string_view());
 }
 
-proxy::Answer Reply::TakeAnswer() {
-  return {std::move(*description_), std::move(*row_), std::move(*tag_)};
-}
+proxy::Answer Reply::TakeAnswer() { return {std::move(*description_), std::move(*row_), std::move(*tag_)}; }
 
 Backend::Backend(net::Loop& loop, Pool& pool, Server& server, net::DescriptorBudget& budget)
     : loop_(loop), pool_(pool), server_(server), slot_(budget.backends()), opening_(loop) {}
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -41,8 +41,8 @@
     server = std::make_unique<Server>();
     server->member = member;
   }
-  const bool moved = server->address && (server->address->host != address.host ||
-                                         server->address->port != address.port);
+  const bool moved =
+      server->address && (server->address->host != address.host || server->address->port != address.port);
   server->address = address;
   if (moved) CloseIdle(member);
 }
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -48,7 +48,8 @@
 class Pool final : public proxy::Backends {
  public:
   // `make_room` gives back a descriptor held by an idle client, if there is one.
-  Pool(net::Loop& loop, PoolSettings settings, net::DescriptorBudget& budget, std::function<bool()> make_room);
+  Pool(net::Loop& loop, PoolSettings settings, net::DescriptorBudget& budget,
+       std::function<bool()> make_room);
   ~Pool();
 
   void SetEvents(proxy::BackendEvents& events) { events_ = &events; }
@@ -57,8 +58,8 @@
   bool ShedIdle();
   void CloseAllIdle();
 
-  void Send(RequestId request, AttemptNumber attempt, MemberId member, std::shared_ptr<const proxy::Work> work,
-            Duration limit) override;
+  void Send(RequestId request, AttemptNumber attempt, MemberId member,
+            std::shared_ptr<const proxy::Work> work, Duration limit) override;
   void Cancel(RequestId request, AttemptNumber attempt) override;
   void Probe(MemberId member) override;
   void CloseIdle(MemberId member) override;
