--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,4 +1,4 @@
-// The decisions of peatridge: every rule, table and tuned value. The interface is balance.h.
+// The decisions of lynxgrade: every rule, table and tuned value. The interface is balance.h.
 #include "balance.h"
 
 #include <algorithm>
@@ -7,7 +7,7 @@
 #include <random>
 #include <set>
 
-namespace peatridge {
+namespace lynxgrade {
 namespace {
 
 // ---- Named constants --------------------------------------------------------------------------------
@@ -896,7 +896,7 @@
   }
 
   void SetTimer(TimerKind kind, Duration delay, std::uint64_t low = 0) {
-    out_->push_back(peatridge::SetTimer{TimerId((static_cast<std::uint64_t>(kind) << 32) | low), delay});
+    out_->push_back(lynxgrade::SetTimer{TimerId((static_cast<std::uint64_t>(kind) << 32) | low), delay});
   }
 
   Settings s_;
@@ -929,4 +929,4 @@
 
 void Balancer::Handle(Time now, const Event& event, Actions& actions) { impl_->Handle(now, event, actions); }
 
-}  // namespace peatridge
+}  // namespace lynxgrade
--- a/src/balance.h
+++ b/src/balance.h
@@ -1,4 +1,4 @@
-// The interface of peatridge's decision module: what it is told, and what it answers with.
+// The interface of lynxgrade's decision module: what it is told, and what it answers with.
 //
 // One Balancer serves one proxy. It is fed events in order with the proxy's clock and appends
 // actions to a list; it reads no clock, shares nothing and draws from one seeded engine.
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace peatridge {
+namespace lynxgrade {
 
 // The proxy's clock: monotonic, with an arbitrary zero.
 struct ProxyClock {
@@ -241,4 +241,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace peatridge
+}  // namespace lynxgrade
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -7,7 +7,7 @@
 #include "wire.h"
 #include "wire_settings.h"
 
-namespace peatridge {
+namespace lynxgrade {
 namespace {
 
 using Json = nlohmann::json;
@@ -90,4 +90,4 @@
   }
 }
 
-}  // namespace peatridge
+}  // namespace lynxgrade
--- a/src/config.h
+++ b/src/config.h
@@ -11,7 +11,7 @@
 #include "discovery/roster.h"
 #include "net/connection.h"
 
-namespace peatridge {
+namespace lynxgrade {
 
 struct Config {
   std::string name;
@@ -30,4 +30,4 @@
 // The configuration, or one plain sentence that says what is wrong with it.
 std::variant<Config, std::string> ReadConfig(std::string_view text);
 
-}  // namespace peatridge
+}  // namespace lynxgrade
--- a/src/discovery/http.cpp
+++ b/src/discovery/http.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <cstdint>
 
-namespace peatridge::discovery {
+namespace lynxgrade::discovery {
 namespace {
 
 constexpr std::size_t kMostLine = 8192;
@@ -174,4 +174,4 @@
   return false;
 }
 
-}  // namespace peatridge::discovery
+}  // namespace lynxgrade::discovery
--- a/src/discovery/http.h
+++ b/src/discovery/http.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace peatridge::discovery {
+namespace lynxgrade::discovery {
 
 class HttpResponse {
  public:
@@ -43,4 +43,4 @@
   std::size_t headers_ = 0;
 };
 
-}  // namespace peatridge::discovery
+}  // namespace lynxgrade::discovery
--- a/src/discovery/roster.cpp
+++ b/src/discovery/roster.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-namespace peatridge::discovery {
+namespace lynxgrade::discovery {
 namespace {
 
 using Json = nlohmann::json;
@@ -109,4 +109,4 @@
   return change;
 }
 
-}  // namespace peatridge::discovery
+}  // namespace lynxgrade::discovery
--- a/src/discovery/roster.h
+++ b/src/discovery/roster.h
@@ -12,7 +12,7 @@
 #include "balance.h"
 #include "net/connection.h"
 
-namespace peatridge::discovery {
+namespace lynxgrade::discovery {
 
 struct Target {
   ListEntry entry;
@@ -48,4 +48,4 @@
   std::map<MemberId, std::string> uids_;
 };
 
-}  // namespace peatridge::discovery
+}  // namespace lynxgrade::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace peatridge::discovery {
+namespace lynxgrade::discovery {
 namespace {
 
 constexpr Duration kConnectWithin{1000000};
@@ -104,4 +104,4 @@
                [this] { Start(); });
 }
 
-}  // namespace peatridge::discovery
+}  // namespace lynxgrade::discovery
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -12,7 +12,7 @@
 #include "net/connection.h"
 #include "net/loop.h"
 
-namespace peatridge::discovery {
+namespace lynxgrade::discovery {
 
 class Watch final : private net::Connection::Owner {
  public:
@@ -51,4 +51,4 @@
   bool heard_ = false;
 };
 
-}  // namespace peatridge::discovery
+}  // namespace lynxgrade::discovery
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-namespace peatridge::front {
+namespace lynxgrade::front {
 namespace {
 
 constexpr Duration kSweepEvery{1000000};
@@ -93,4 +93,4 @@
   if (sessions_.empty() && done_) std::exchange(done_, nullptr)();
 }
 
-}  // namespace peatridge::front
+}  // namespace lynxgrade::front
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -13,7 +13,7 @@
 #include "net/loop.h"
 #include "proxy/proxy.h"
 
-namespace peatridge::front {
+namespace lynxgrade::front {
 
 class Front {
  public:
@@ -62,4 +62,4 @@
   bool leaving_ = false;
 };
 
-}  // namespace peatridge::front
+}  // namespace lynxgrade::front
--- a/src/front/session.cpp
+++ b/src/front/session.cpp
@@ -7,7 +7,7 @@
 #include "front/front.h"
 #include "pg/message.h"
 
-namespace peatridge::front {
+namespace lynxgrade::front {
 namespace {
 
 bool StartsWithWord(std::string_view text, std::string_view word) {
@@ -260,4 +260,4 @@
   Close();
 }
 
-}  // namespace peatridge::front
+}  // namespace lynxgrade::front
--- a/src/front/session.h
+++ b/src/front/session.h
@@ -12,7 +12,7 @@
 #include "pg/statement.h"
 #include "proxy/ports.h"
 
-namespace peatridge::front {
+namespace lynxgrade::front {
 
 // A statement as its client sent it; all that an attempt changes is d.
 class StatementWork final : public proxy::Work {
@@ -72,4 +72,4 @@
   Time since_{};  // of the last thing that this client did or was told
 };
 
-}  // namespace peatridge::front
+}  // namespace lynxgrade::front
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -22,7 +22,7 @@
 #include "proxy/proxy.h"
 #include "upstream/pool.h"
 
-namespace peatridge {
+namespace lynxgrade {
 namespace {
 
 constexpr Duration kReportEvery{5000000};
@@ -167,13 +167,13 @@
   spdlog::flush_on(spdlog::level::info);
   const auto config = LoadConfig();
   if (const auto* wrong = std::get_if<std::string>(&config)) {
-    std::fprintf(stderr, "peatridge: %s\n", wrong->c_str());
+    std::fprintf(stderr, "lynxgrade: %s\n", wrong->c_str());
     return 2;
   }
   Pooler pooler(std::get<Config>(config));
   const std::string fault = pooler.Start();
   if (!fault.empty()) {
-    std::fprintf(stderr, "peatridge: %s\n", fault.c_str());
+    std::fprintf(stderr, "lynxgrade: %s\n", fault.c_str());
     return 1;
   }
   spdlog::info("started");
@@ -182,13 +182,13 @@
 }
 
 }  // namespace
-}  // namespace peatridge
+}  // namespace lynxgrade
 
 int main() {
   try {
-    return peatridge::Main();
+    return lynxgrade::Main();
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "peatridge: %s\n", error.what());
+    std::fprintf(stderr, "lynxgrade: %s\n", error.what());
     return 1;
   }
 }
--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 
-namespace peatridge::net {
+namespace lynxgrade::net {
 
 class DescriptorBudget {
  public:
@@ -43,4 +43,4 @@
   std::size_t* count_;
 };
 
-}  // namespace peatridge::net
+}  // namespace lynxgrade::net
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -5,7 +5,7 @@
 
 #include <charconv>
 
-namespace peatridge::net {
+namespace lynxgrade::net {
 namespace {
 
 constexpr int kReadsPerWake = 4;  // a busy peer must not starve the others
@@ -213,4 +213,4 @@
   socket_.reset();
 }
 
-}  // namespace peatridge::net
+}  // namespace lynxgrade::net
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -9,7 +9,7 @@
 #include "net/glib_ptr.h"
 #include "net/ring_buffer.h"
 
-namespace peatridge::net {
+namespace lynxgrade::net {
 
 struct Address {
   std::string host;
@@ -89,4 +89,4 @@
   bool broken_ = false;
 };
 
-}  // namespace peatridge::net
+}  // namespace lynxgrade::net
--- a/src/net/glib_ptr.h
+++ b/src/net/glib_ptr.h
@@ -5,7 +5,7 @@
 
 #include <memory>
 
-namespace peatridge::net {
+namespace lynxgrade::net {
 
 struct Unref {
   void operator()(gpointer object) const { g_object_unref(object); }
@@ -56,4 +56,4 @@
   GSource* source_ = nullptr;
 };
 
-}  // namespace peatridge::net
+}  // namespace lynxgrade::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -2,7 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
-namespace peatridge::net {
+namespace lynxgrade::net {
 namespace {
 
 constexpr Duration kPauseWhenFull{20000};
@@ -76,4 +76,4 @@
   socket_.reset();
 }
 
-}  // namespace peatridge::net
+}  // namespace lynxgrade::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -7,7 +7,7 @@
 #include "net/connection.h"
 #include "net/loop.h"
 
-namespace peatridge::net {
+namespace lynxgrade::net {
 
 class Listener {
  public:
@@ -38,4 +38,4 @@
   Timer again_;
 };
 
-}  // namespace peatridge::net
+}  // namespace lynxgrade::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace peatridge::net {
+namespace lynxgrade::net {
 namespace {
 
 // GLib hands its poll function no user data; there is one loop a process.
@@ -93,4 +93,4 @@
   Arm();
 }
 
-}  // namespace peatridge::net
+}  // namespace lynxgrade::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -10,7 +10,7 @@
 #include "balance.h"
 #include "net/glib_ptr.h"
 
-namespace peatridge::net {
+namespace lynxgrade::net {
 
 // Runs GLib's default main context. The clock is monotonic, anchored once to Unix time when the loop is
 // made: a Time is a count of microseconds since 1970 that never falls.
@@ -79,4 +79,4 @@
   bool armed_ = false;
 };
 
-}  // namespace peatridge::net
+}  // namespace lynxgrade::net
--- a/src/net/ring_buffer.cpp
+++ b/src/net/ring_buffer.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstring>
 
-namespace peatridge::net {
+namespace lynxgrade::net {
 namespace {
 
 constexpr std::size_t kFirst = 2048;
@@ -77,4 +77,4 @@
   std::memcpy(to + first, data_.get(), size_ - first);
 }
 
-}  // namespace peatridge::net
+}  // namespace lynxgrade::net
--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string_view>
 
-namespace peatridge::net {
+namespace lynxgrade::net {
 
 // Starts without memory, doubles up to a limit as bytes come, and gives a large block back when empty.
 class RingBuffer {
@@ -46,4 +46,4 @@
   std::size_t size_ = 0;
 };
 
-}  // namespace peatridge::net
+}  // namespace lynxgrade::net
--- a/src/pg/message.cpp
+++ b/src/pg/message.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace peatridge::pg {
+namespace lynxgrade::pg {
 namespace {
 
 constexpr std::size_t kHead = 5;             // type and length
@@ -230,4 +230,4 @@
   AppendFields(out, 'N', "NOTICE", "00000", message, {});
 }
 
-}  // namespace peatridge::pg
+}  // namespace lynxgrade::pg
--- a/src/pg/message.h
+++ b/src/pg/message.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace peatridge::pg {
+namespace lynxgrade::pg {
 
 // A value has 64 KiB at most; as hex in a statement that is twice as much, with room for the rest.
 inline constexpr std::size_t kMostMessage = 192 * 1024;
@@ -73,4 +73,4 @@
                  std::string_view detail = {});
 void AppendNotice(std::string& out, std::string_view message);
 
-}  // namespace peatridge::pg
+}  // namespace lynxgrade::pg
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -3,7 +3,7 @@
 #include <charconv>
 #include <cmath>
 
-namespace peatridge::pg {
+namespace lynxgrade::pg {
 namespace {
 
 std::string_view Trimmed(std::string_view text) {
@@ -106,4 +106,4 @@
   return fields;
 }
 
-}  // namespace peatridge::pg
+}  // namespace lynxgrade::pg
--- a/src/pg/statement.h
+++ b/src/pg/statement.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace peatridge::pg {
+namespace lynxgrade::pg {
 
 // What the comment before a statement says; the texts point into the statement.
 struct Comment {
@@ -35,4 +35,4 @@
 
 std::optional<std::int64_t> ReadWhole(std::string_view text);
 
-}  // namespace peatridge::pg
+}  // namespace lynxgrade::pg
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -8,7 +8,7 @@
 
 #include "balance.h"
 
-namespace peatridge::proxy {
+namespace lynxgrade::proxy {
 
 // What a data server is asked to run. A front makes it; only the backends read it.
 class Work {
@@ -76,4 +76,4 @@
   ~Backends() = default;
 };
 
-}  // namespace peatridge::proxy
+}  // namespace lynxgrade::proxy
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 #include <variant>
 
-namespace peatridge::proxy {
+namespace lynxgrade::proxy {
 
 Proxy::Proxy(net::Loop& loop, Settings settings, std::uint64_t seed, Backends& backends)
     : loop_(loop), backends_(backends), balancer_(std::move(settings), seed) {}
@@ -141,4 +141,4 @@
 
 void Proxy::Do(const Log& action) { spdlog::info("module: {}", action.text); }
 
-}  // namespace peatridge::proxy
+}  // namespace lynxgrade::proxy
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -10,7 +10,7 @@
 #include "net/loop.h"
 #include "proxy/ports.h"
 
-namespace peatridge::proxy {
+namespace lynxgrade::proxy {
 
 class Proxy final : public BackendEvents {
  public:
@@ -70,4 +70,4 @@
   Counts counts_;
 };
 
-}  // namespace peatridge::proxy
+}  // namespace lynxgrade::proxy
--- a/src/upstream/backend.cpp
+++ b/src/upstream/backend.cpp
@@ -6,7 +6,7 @@
 
 #include "pg/statement.h"
 
-namespace peatridge::upstream {
+namespace lynxgrade::upstream {
 namespace {
 
 // A position on a socket is a Unix time in milliseconds, as the pooler's clock is one in microseconds.
@@ -222,4 +222,4 @@
   pool_.Dispatch(server_);
 }
 
-}  // namespace peatridge::upstream
+}  // namespace lynxgrade::upstream
--- a/src/upstream/backend.h
+++ b/src/upstream/backend.h
@@ -11,7 +11,7 @@
 #include "pg/message.h"
 #include "upstream/pool.h"
 
-namespace peatridge::upstream {
+namespace lynxgrade::upstream {
 
 // What has come of an answer so far, and what it says in the module's terms. Reads messages, not sockets.
 class Reply {
@@ -94,4 +94,4 @@
   bool dispatching = false;
 };
 
-}  // namespace peatridge::upstream
+}  // namespace lynxgrade::upstream
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -6,7 +6,7 @@
 
 #include "upstream/backend.h"
 
-namespace peatridge::upstream {
+namespace lynxgrade::upstream {
 namespace {
 
 // Openings at a time to one data server: enough for any steady traffic, no storm on one that just started.
@@ -211,4 +211,4 @@
   retire_.After(kRetireEvery, [this] { Retire(); });
 }
 
-}  // namespace peatridge::upstream
+}  // namespace lynxgrade::upstream
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -17,7 +17,7 @@
 #include "net/loop.h"
 #include "proxy/ports.h"
 
-namespace peatridge::upstream {
+namespace lynxgrade::upstream {
 
 struct PoolSettings {
   Duration connect_timeout{250000};
@@ -91,4 +91,4 @@
   net::Timer retire_;
 };
 
-}  // namespace peatridge::upstream
+}  // namespace lynxgrade::upstream
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -7,7 +7,7 @@
 
 #include "wire_settings.h"
 
-namespace peatridge::wire {
+namespace lynxgrade::wire {
 namespace {
 
 using Json = nlohmann::json;
@@ -502,4 +502,4 @@
   out += "}\n";
 }
 
-}  // namespace peatridge::wire
+}  // namespace lynxgrade::wire
--- a/src/wire.h
+++ b/src/wire.h
@@ -10,7 +10,7 @@
 
 #include "balance.h"
 
-namespace peatridge::wire {
+namespace lynxgrade::wire {
 
 using Instance = std::int64_t;
 
@@ -71,4 +71,4 @@
   Dialect& DialectOf(Instance instance);
 };
 
-}  // namespace peatridge::wire
+}  // namespace lynxgrade::wire
--- a/src/wire_settings.h
+++ b/src/wire_settings.h
@@ -7,7 +7,7 @@
 
 #include "balance.h"
 
-namespace peatridge::wire {
+namespace lynxgrade::wire {
 
 // Throws WireError where a value is missing or not of its kind.
 Settings DecodeSettings(const nlohmann::json& facts);
@@ -17,4 +17,4 @@
 // `zero`.
 void TakeReportValue(Report& report, const std::string& column, double value, Duration zero);
 
-}  // namespace peatridge::wire
+}  // namespace lynxgrade::wire
--- a/src/wirehost.cpp
+++ b/src/wirehost.cpp
@@ -1,4 +1,4 @@
-// peatridge_wirehost: reads batches of events, feeds each to the Balancer of its instance and
+// lynxgrade_adapter: reads batches of events, feeds each to the Balancer of its instance and
 // writes one reply per batch. It decides nothing.
 #include <cstdio>
 #include <exception>
@@ -11,7 +11,7 @@
 #include "balance.h"
 #include "wire.h"
 
-namespace peatridge::wire {
+namespace lynxgrade::wire {
 namespace {
 
 class Host {
@@ -94,7 +94,7 @@
       if (!host.Take(line)) continue;
     } catch (const WireError& error) {
       const auto serial = host.serial();
-      std::cerr << "peatridge_wirehost: "
+      std::cerr << "lynxgrade_adapter: "
                 << (serial ? "batch " + std::to_string(*serial) : std::string("outside a batch")) << ": "
                 << error.what() << std::endl;
       return 1;
@@ -105,10 +105,10 @@
 }
 
 }  // namespace
-}  // namespace peatridge::wire
+}  // namespace lynxgrade::wire
 
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  return peatridge::wire::Run();
+  return lynxgrade::wire::Run();
 }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -8,7 +8,7 @@
 #include <set>
 #include <utility>
 
-namespace peatridge {
+namespace lynxgrade {
 namespace {
 
 constexpr Duration operator""_ms(unsigned long long n) {
@@ -692,4 +692,4 @@
 }
 
 }  // namespace
-}  // namespace peatridge
+}  // namespace lynxgrade
--- a/tests/embed_example.cpp
+++ b/tests/embed_example.cpp
@@ -5,7 +5,7 @@
 #include "balance.h"
 
 int main() {
-  using namespace peatridge;
+  using namespace lynxgrade;
   Settings settings;
   settings.classes.push_back(
       {.kind = ReadKind::kAny, .aim = Duration(200000), .deadline = Duration(1000000)});
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -10,7 +10,7 @@
 #include <fstream>
 #include <string>
 
-namespace peatridge::wire {
+namespace lynxgrade::wire {
 namespace {
 
 const char kSpawn[] =
@@ -173,10 +173,10 @@
 };
 
 Ran Host(const std::string& input) {
-  const std::string base = testing::TempDir() + "wirehost_" + std::to_string(getpid());
+  const std::string base = testing::TempDir() + "adapter_" + std::to_string(getpid());
   std::ofstream(base + ".in") << input;
   const std::string command =
-      std::string(WIREHOST) + " <" + base + ".in >" + base + ".out 2>" + base + ".err";
+      std::string(ADAPTER) + " <" + base + ".in >" + base + ".out 2>" + base + ".err";
   Ran ran;
   ran.code = WEXITSTATUS(std::system(command.c_str()));
   const auto read = [&](const char* end) {
@@ -228,4 +228,4 @@
 }
 
 }  // namespace
-}  // namespace peatridge::wire
+}  // namespace lynxgrade::wire
