Arm the first timer: no deadline, beat or module timer had ever fired

Checked: a probe of two timers alone hung; a system-call trace showed poll with no time-out, so no ready time was set. Ruled out: the module (its sends and answers were right) and the sessions (each loss had its attempt). Lines: Loop::At compared emplace(...).first with begin(); the order of the operands is open, and begin() was taken before the insertion, so Arm was never called for an only or earliest timer.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -49,8 +49,10 @@
 
 Loop::TimerKey Loop::At(Time when, std::function<void()> call) {
   const TimerKey key{when, next_++};
-  const bool first = timers_.emplace(key, std::move(call)).first == timers_.begin();
-  if (first) Arm();
+  timers_.emplace(key, std::move(call));
+  // A separate step: the operands of one comparison are evaluated in any order, and begin() taken before the
+  // insertion left an earlier deadline unarmed, so that no timer ever fired.
+  if (timers_.begin()->first == key) Arm();
   return key;
 }
 
