--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -42,6 +42,7 @@
 constexpr double kHopeless = 0.35;      // refusing starts where the expected latency is this part of the rest
 constexpr double kHopelessRamp = 0.4;   // and is (almost) full so much later
 constexpr double kMostRefused = 0.95;   // some go through still, or recovery would not be seen
+constexpr double kWorkedOff = 0.5;       // of its length a queue takes to go, as refusals thin out the rest
 constexpr double kSpareAim = 0.6;       // of its aim: a primary whose work takes less has room to spare
 constexpr double kSpillCut = 0.7;       // of the spill window when it has not
 constexpr double kSpillStep = 0.5;      // and its growth with each read that came back well
@@ -786,9 +787,28 @@
                         [](const Attempt& a) { return a.may_have_run; });
   }
 
+  // When a new try may fare better: once the member that is soonest ready has rested and has worked off what
+  // makes it too slow for this class. Where none is known to take it, after a pause: what is held for a
+  // member costs none of them anything. Never under a pause, in which little changes.
+  Duration ComeBack(const Request& r) {
+    if (!s_.clients_wait_as_told) return Duration{0};
+    std::optional<Duration> soonest;
+    for (MemberId id : groups_[r.ask.group].members) {
+      const Member& m = members_.at(id);
+      if (m.leaving || NeedsPrimary(r) != IsPrimary(m)) continue;
+      const double queue = m.share_each * static_cast<double>(m.out.size() + 1);
+      const double took = class_latency_[r.ask.cls] * std::max(Slowness(m), queue);
+      const Duration rest = std::max(Duration{0}, m.resting_until - now_);
+      const double over = std::max(0.0, took - kHopeless * Seconds(Aim(r)));
+      const Duration ready = rest + Times(Duration(1000000), kWorkedOff * over);
+      soonest = std::min(soonest.value_or(ready), ready);
+    }
+    return std::min(s_.longest_client_wait, std::max(kPause, soonest.value_or(kPause)));
+  }
+
   void Finish(Request& r) {
     CancelPending(r);
-    out_->push_back(MayRefuse(r) ? Action(Refuse{r.ask.id, Duration{0}}) : Action(Fail{r.ask.id}));
+    out_->push_back(MayRefuse(r) ? Action(Refuse{r.ask.id, ComeBack(r)}) : Action(Fail{r.ask.id}));
     Forget(r);
   }
 
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -66,7 +66,10 @@
       }
       if (std::holds_alternative<Probe>(action)) probes.push_back(std::get<Probe>(action));
       if (std::holds_alternative<Watch>(action)) ++watches;
-      if (std::holds_alternative<Refuse>(action)) refused.push_back(std::get<Refuse>(action).id);
+      if (const auto* refuse = std::get_if<Refuse>(&action)) {
+        refused.push_back(refuse->id);
+        advice = refuse->stay_away;
+      }
       if (std::holds_alternative<Fail>(action)) failed.push_back(std::get<Fail>(action).id);
     }
     return actions;
@@ -137,6 +140,7 @@
   std::vector<Send> sends;
   std::vector<Probe> probes;
   std::vector<RequestId> refused, failed;
+  Duration advice{0};  // of the newest refusal
   int watches = 0;
 
  private:
@@ -534,6 +538,38 @@
   EXPECT_GT(refused[0], refused[1]);
 }
 
+// Guards against a refusal that tells nothing: clients would come back on their own, at the worst moment.
+TEST(Overload, ARefusalSaysWhenToComeBackWithinTheLimit) {
+  Settings s = Usual();
+  s.clients_wait_as_told = true;
+  s.longest_client_wait = 400_ms;
+  Proxy nobody(s);
+  nobody.Ask(kKeyedWrite);
+  nobody.Pass(2000_ms);
+  ASSERT_EQ(nobody.refused.size(), 1u);
+  EXPECT_EQ(nobody.advice, 50_ms);  // held here until a member is known: a pause
+
+  const auto advice_at = [&](Duration taken) {  // of members that answer so slowly
+    Proxy p(s);
+    p.List(Three());
+    p.Told(kA, p.now(), false);
+    p.Told(kB, p.now(), false);
+    for (int i = 0; i < 300; ++i) {
+      const RequestId id = p.Ask(kSession);
+      if (p.SendsOf(id) == 0) continue;
+      p.Pass(taken);
+      p.End(id, Outcome::kOk, {p.now(), false}, taken);
+    }
+    EXPECT_FALSE(p.refused.empty());
+    return p.advice;
+  };
+  EXPECT_GE(advice_at(230_ms), 50_ms);
+  EXPECT_LT(advice_at(230_ms), advice_at(350_ms));  // the more there is to work off, the later
+  EXPECT_LE(advice_at(350_ms), 400_ms);
+  s.clients_wait_as_told = false;
+  EXPECT_EQ(advice_at(350_ms), 0_ms);
+}
+
 TEST(Health, LongAnyReadsAreDrawnTogether) {
   Settings s = Usual();
   s.classes[kAny].aim = 1600_ms;
