Test each rule on real sockets, and drop data servers that answer unasked

Found by the new tests: a data server's second answer to one question was taken for the answer to the next request on that connection, and one that came while idle put the connection into the idle list twice. Also, Connection::FinishOpening did not send what had been written before the connection was up. Both cases fail in pooler_test without the changes.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -121,6 +121,7 @@
   up_ = true;
   writer_.reset();
   Listen();
+  if (!out_.empty()) Flush();  // what was written before it was up
   owner_->OnUp();
 }
 
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -50,6 +50,7 @@
   RingBuffer& in() { return in_; }
   bool up() const { return up_; }
   bool closed() const { return socket_ == nullptr; }
+  int descriptor() const { return closed() ? -1 : g_socket_get_fd(socket_.get()); }
   bool peer_done() const { return peer_done_; }
   // Whether everything given to Write has been handed to the kernel.
   bool all_written() const { return out_.empty(); }
--- a/src/upstream/backend.cpp
+++ b/src/upstream/backend.cpp
@@ -150,6 +150,12 @@
 }
 
 bool Backend::TakeMessage(char type, std::string_view body) {
+  // An answer that nobody asked for must not make the connection idle twice over: two requests would then be
+  // written to it at once.
+  if (idle() && type != 'S' && type != 'N' && type != 'E') {
+    Malformed("an answer to no question");
+    return false;
+  }
   const Reply::Step step = reply_.Take(type, body);
   if (step == Reply::Step::kMalformed) {
     Malformed("an answer that cannot be read");
@@ -167,10 +173,18 @@
     ready_ = true;
     --server_.opening;
   }
-  server_.idle.push_back(this);
   Reply reply = std::exchange(reply_, Reply());
   Server& server = server_;
   Pool& pool = pool_;
+  const auto self = shared_from_this();
+  if (connection_->in().empty()) {
+    server_.idle.push_back(this);
+  } else {
+    // More than was asked for: the rest would pass for the answer to the next request.
+    spdlog::error("data server {}: more than one answer to a question",
+                  static_cast<std::uint32_t>(server.member));
+    pool.Remove(*this);
+  }
   if (job != nullptr) {
     Outcome outcome = reply.Ended(true);
     if (job->probe()) {
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -1,4 +1,5 @@
-// Tables of cases for the parsers: PostgreSQL messages, the statement's comment, reports, HTTP and the roster.
+// Tables of cases for the parsers: PostgreSQL messages, the statement's comment, reports, HTTP and the
+// roster.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
@@ -72,8 +73,12 @@
   for (const std::string& bad : {"SERROR\0\0"s, "C25006\0"s, "C25006"s, ""s}) {
     CHECK_FALSE(pg::ReadError(bad).has_value());
   }
-  CHECK(pg::ReadStatus("log_position\0" "12\0"s)->value == "12");
-  CHECK_FALSE(pg::ReadStatus("log_position\0" "12"s).has_value());
+  CHECK(pg::ReadStatus("log_position\0"
+                       "12\0"s)
+            ->value == "12");
+  CHECK_FALSE(pg::ReadStatus("log_position\0"
+                             "12"s)
+                  .has_value());
   CHECK(pg::ReadQuery("a\0"s) == "a");
   for (const std::string& bad : {""s, "a"s, "a\0b\0"s}) CHECK_FALSE(pg::ReadQuery(bad).has_value());
 }
@@ -139,12 +144,17 @@
   };
   for (const auto& c : cases) {
     upstream::Reply reply;
-    for (const auto& [type, body] : c.messages) REQUIRE(reply.Take(type, body) == upstream::Reply::Step::kMore);
+    for (const auto& [type, body] : c.messages)
+      REQUIRE(reply.Take(type, body) == upstream::Reply::Step::kMore);
     CHECK(reply.Ended(c.written) == c.outcome);
   }
   upstream::Reply reply;
-  for (const auto& [type, body] : std::vector<std::pair<char, std::string>>{
-           {'D', "no row"}, {'E', "no code"}, {'S', "pressure\0x\0"s}, {'Z', ""}, {'?', ""}, {'R', "\0\0\0\5"s}}) {
+  for (const auto& [type, body] : std::vector<std::pair<char, std::string>>{{'D', "no row"},
+                                                                            {'E', "no code"},
+                                                                            {'S', "pressure\0x\0"s},
+                                                                            {'Z', ""},
+                                                                            {'?', ""},
+                                                                            {'R', "\0\0\0\5"s}}) {
     CAPTURE(type);
     CHECK(reply.Take(type, body) == upstream::Reply::Step::kMalformed);
   }
@@ -218,7 +228,8 @@
   discovery::RosterReader one({}), two({});
   two.IdOf("another");
   CHECK(one.IdOf("s-1") == two.IdOf("s-1"));  // the same at every pooler, whatever it met before
-  for (const char* bad : {"", "[]", "{", R"({"rev":1,"all":true})", R"({"rev":"x","all":true,"targets":[]})"}) {
+  for (const char* bad :
+       {"", "[]", "{", R"({"rev":1,"all":true})", R"({"rev":"x","all":true,"targets":[]})"}) {
     std::string wrong;
     CHECK_FALSE(one.Read(std::string_view(bad), wrong).has_value());
     CHECK_FALSE(wrong.empty());
--- /dev/null
+++ b/tests/pooler_test.cpp
@@ -0,0 +1,414 @@
+// The pooler's parts on real sockets: scripted data servers and clients in the same loop, ports by the
+// kernel.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "discovery/watch.h"
+#include "front/front.h"
+#include "net/listener.h"
+#include "pg/message.h"
+#include "proxy/proxy.h"
+#include "upstream/pool.h"
+
+namespace lynxgrade {
+namespace {
+
+using net::Connection;
+using Texts = std::vector<std::string>;
+
+struct Peer;
+using Script = std::function<void(Peer&, const std::string&)>;
+
+// One end of a connection under a test's control; calls its script with each query or line of bytes.
+struct Peer final : Connection::Owner {
+  Script script;
+  bool server = false, started = false, ended = false;
+  std::string bytes;  // what came and is not taken apart here
+  std::shared_ptr<Connection> connection;
+
+  void OnReadable() override {
+    bytes += connection->in().All();
+    connection->in().Consume(connection->in().size());
+    while (server) {
+      const pg::Frame frame = started ? pg::ReadFrame(bytes) : pg::ReadStartupFrame(bytes);
+      if (frame.framing != pg::Framing::kWhole) return;
+      const std::string text(frame.body);
+      bytes.erase(0, frame.size);
+      const bool first = !std::exchange(started, true);
+      script(*this, first ? "hello" : text.substr(0, text.size() - 1));
+    }
+  }
+  void OnPeerDone() override { ended = true; }
+  void OnBroken() override { ended = true; }
+  void Say(const std::string& text) { connection->Write(text); }
+  // The codes of the messages that came, as letters.
+  std::string Types() const {
+    std::string types, rest = bytes;
+    for (pg::Frame f; (f = pg::ReadFrame(rest)).framing == pg::Framing::kWhole; rest.erase(0, f.size))
+      types += f.type;
+    return types;
+  }
+  bool Saw(const std::string& text) const { return bytes.find(text) != std::string::npos; }
+};
+
+std::string Hello() {
+  std::string out;
+  pg::AppendAuthenticationOk(out);
+  pg::AppendReady(out);
+  return out;
+}
+
+std::string Row(const std::string& value, const char* role = "standby", const char* position = "0") {
+  std::string out;
+  pg::AppendMessage(out, 'T', std::string("\0\0", 2));
+  pg::AppendMessage(out, 'D', std::string("\0\1\0\0\0", 5) + static_cast<char>(value.size()) + value);
+  pg::AppendComplete(out, "SELECT 1");
+  pg::AppendStatus(out, "replication_role", role);
+  pg::AppendStatus(out, "log_position", position);
+  pg::AppendReady(out);
+  return out;
+}
+
+std::string Error(const char* code) {
+  std::string out;
+  pg::AppendError(out, "ERROR", code, "no");
+  pg::AppendReady(out);
+  return out;
+}
+
+// A data server that answers by its script; the queries that came are kept, probes apart.
+struct DataServer {
+  DataServer(net::Loop& loop, Script on_query)
+      : script(std::move(on_query)),
+        listener(
+            loop, [] { return true; }, [this](net::ObjectPtr<GSocket> s) { Accept(std::move(s)); }) {
+    REQUIRE(listener.Open({"127.0.0.1", 0}).empty());
+  }
+  void Accept(net::ObjectPtr<GSocket> socket) {
+    auto peer = std::make_unique<Peer>();
+    peer->server = true;
+    peer->script = [this](Peer& p, const std::string& text) {
+      if (text == "hello") return p.Say(Hello());
+      if (text == "SHOW pressure") return p.Say(Row(report));
+      queries.push_back(text);
+      script(p, text);
+    };
+    peer->connection = Connection::Adopt(std::move(socket), *peer, 1 << 18, 1 << 18);
+    peers.push_back(std::move(peer));
+  }
+  Script script;
+  net::Listener listener;
+  std::string report = "x1=0,x0=1";
+  std::vector<std::unique_ptr<Peer>> peers;
+  Texts queries;
+};
+
+Settings Usual() {
+  Settings s;
+  const auto cls = [](ReadKind kind, Effect effect) {
+    RequestClass c;
+    c.kind = kind;
+    c.effect = effect;
+    c.aim = Duration(400000);
+    c.deadline = Duration(4000000);
+    c.repeat_window = Duration(3000000);
+    c.repeats_anywhere = false;
+    return c;
+  };
+  s.classes = {cls(ReadKind::kAny, Effect::kSafe), cls(ReadKind::kSession, Effect::kSafe),
+               cls(ReadKind::kWrite, Effect::kKeyed)};
+  s.lag_check = LagCheck::kWait;
+  s.answers_tell_position = true;
+  s.sessions_carried = false;
+  s.reports = Reports::kProbes;
+  s.may_cancel = s.may_probe = s.clients_wait_as_told = true;
+  s.longest_client_wait = Duration(500000);
+  s.max_attempts = 8;
+  return s;
+}
+
+struct World {
+  explicit World(std::size_t descriptors = 200)
+      : budget(descriptors),
+        pool(loop, {}, budget, [this] { return front.ShedIdle(); }),
+        proxy(loop, Usual(), 7, pool),
+        front(loop, proxy, budget, {"any", "own", "write"}, {"acme"}, Usual(),
+              [this] { return pool.ShedIdle(); }) {
+    pool.SetEvents(proxy);
+    REQUIRE(front.Listen({"127.0.0.1", 0}).empty());
+  }
+  DataServer& Serve(Script script) {
+    servers.push_back(std::make_unique<DataServer>(loop, std::move(script)));
+    return *servers.back();
+  }
+  void List(ListKind kind = ListKind::kPersisted, Lifecycle first = Lifecycle::kServing) {
+    ListEvent event{kind, {}};
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+      const auto id = static_cast<MemberId>(i + 1);
+      pool.SetAddress(id, {"127.0.0.1", servers[i]->listener.port()});
+      event.entries.push_back(
+          {.member = id, .group = GroupId(2), .lifecycle = i == 0 ? first : Lifecycle::kServing});
+    }
+    proxy.ListChanged(event);
+    front.SetReady();
+  }
+  // A client that says who it is and sends all of `queries` in one segment.
+  Peer& Client(const Texts& queries) {
+    clients.push_back(std::make_unique<Peer>());
+    Peer& peer = *clients.back();
+    bool full = false;
+    peer.connection = Connection::Open({"127.0.0.1", front.port()}, peer, 1 << 18, 1 << 18, &full);
+    REQUIRE(peer.connection != nullptr);
+    std::string out;
+    pg::AppendStartup(out, "worker", "catalog");
+    for (const std::string& query : queries) pg::AppendQuery(out, query);
+    peer.Say(out);
+    return peer;
+  }
+  // Runs until it holds. The time limit is for a test that hangs, not a measure of speed.
+  void Until(const std::function<bool()>& holds) {
+    bool late = false;
+    net::Timer limit(loop), look(loop);
+    limit.After(Duration(10000000), [&] { late = true; });
+    std::function<void()> again = [&] { look.After(Duration(1000), again); };
+    again();
+    while (!holds() && !late) g_main_context_iteration(nullptr, TRUE);
+    REQUIRE(holds());
+  }
+
+  net::Loop loop;
+  net::DescriptorBudget budget;
+  upstream::Pool pool;
+  proxy::Proxy proxy;
+  front::Front front;
+  std::vector<std::unique_ptr<DataServer>> servers;
+  std::vector<std::unique_ptr<Peer>> clients;
+};
+
+std::string Ask(const char* cls, const char* object = "k", int budget = 3000) {
+  return std::string("/* id=1,c=") + cls + ",t=acme,d=" + std::to_string(budget) +
+         ",k=5c,cluster=2 */ SELECT '" + object + "'";
+}
+
+const Script kSilent = [](Peer&, const std::string&) {};
+const Script kAnswer = [](Peer& p, const std::string& text) {
+  p.Say(Row(text.substr(text.rfind('\'') - 1, 1)));
+};
+
+TEST_CASE("a request is served with the data server's value; its statement changes in d alone") {
+  World w;
+  DataServer& server = w.Serve(kAnswer);
+  w.List();
+  Peer& client = w.Client({Ask("any", "x")});
+  w.Until([&] { return client.Saw("SELECT 1"); });
+  CHECK(client.Types() == "RSSSSKZTDCZ");
+  REQUIRE(server.queries.size() == 1);
+  std::string sent = server.queries[0], asked = Ask("any", "x");
+  sent.erase(sent.find(",d=") + 3, sent.find(",k=") - sent.find(",d=") - 3);
+  asked.erase(asked.find(",d=") + 3, 4);
+  CHECK(sent == asked);
+}
+
+TEST_CASE("pipelined queries are answered in their order, a bad one between them too") {
+  World w;
+  w.Serve(kAnswer);
+  w.List();
+  Peer& client = w.Client({Ask("any", "1"), Ask("nobody"), "SELECT 1", "", Ask("any", "2")});
+  w.Until([&] { return client.Types().ends_with("TDCZEZEZIZTDCZ"); });
+  CHECK(client.bytes.find("1C") < client.bytes.find("2C"));
+}
+
+TEST_CASE("rule 1: a request that no data server answers gets one final answer, before its deadline") {
+  World w;
+  DataServer& server = w.Serve(kSilent);
+  w.List();
+  Peer& client = w.Client({Ask("any", "k", 300)});
+  w.Until([&] { return client.Saw("53300"); });
+  CHECK(client.Types() == "RSSSSKZEZ");
+  w.Until(
+      [&] { return server.peers[0]->ended || server.peers.back()->ended; });  // the attempt was called off
+  CHECK(w.proxy.open() == 0);
+}
+
+TEST_CASE("rule 2: a write that may have run is not refused, and not sent beyond its window") {
+  World w;
+  DataServer& server = w.Serve([](Peer& p, const std::string&) { p.connection->Close(); });
+  server.report = "x1=1,x0=1";
+  w.List();
+  Peer& client = w.Client({Ask("write", "k", 1500)});
+  w.Until([&] { return client.Saw("58000"); });
+  CHECK(client.Types() == "RSSSSKZEZ");
+  CHECK_FALSE(client.Saw("53300"));
+  CHECK(server.queries.size() >= 1);
+}
+
+TEST_CASE("rule 2: a write that was turned away untouched may be refused, with a time to come back") {
+  World w;
+  DataServer& server = w.Serve([](Peer& p, const std::string&) { p.Say(Error("25006")); });
+  server.report = "x1=1,x0=1";
+  w.List();
+  Peer& client = w.Client({Ask("write", "k", 400)});
+  w.Until([&] { return client.Saw("53300"); });
+  CHECK(client.Saw(std::string("\0D50\0", 5)));
+}
+
+TEST_CASE("rule 3: nothing new goes to a data server that drains") {
+  World w;
+  DataServer& draining = w.Serve(kAnswer);
+  DataServer& other = w.Serve(kAnswer);
+  w.List();
+  w.List(ListKind::kPartial, Lifecycle::kDraining);
+  Peer& client = w.Client(Texts(20, Ask("any")));
+  w.Until([&] { return other.queries.size() == 20 && client.Types().ends_with("TDCZ"); });
+  CHECK(draining.queries.empty());
+}
+
+TEST_CASE("rule 5: a read that a replica is too far behind for is sent again, not answered from old data") {
+  World w;
+  int turned_away = 0;
+  const Script behind = [&](Peer& p, const std::string&) {
+    if (++turned_away <= 2) return p.Say(Error("72000"));
+    p.Say(Row("z"));
+  };
+  w.Serve(behind);
+  w.Serve(behind);
+  w.List();
+  Peer& client = w.Client({Ask("own")});
+  w.Until([&] { return client.Types().ends_with("TDCZ"); });
+  CHECK(turned_away == 3);
+}
+
+TEST_CASE("a client that closes calls its attempt off; one that only ended its sending is answered") {
+  World w;
+  DataServer& server = w.Serve(kSilent);
+  w.List();
+  Peer& gone = w.Client({Ask("any")});
+  Peer& half = w.Client({Ask("any")});
+  w.Until([&] { return server.queries.size() == 2; });
+  shutdown(half.connection->descriptor(), SHUT_WR);
+  gone.connection->Close();
+  w.Until([&] { return w.proxy.counts().withdrawn == 1; });
+  for (const auto& peer : server.peers) {
+    if (!peer->ended && !peer->connection->closed()) peer->Say(Row("h"));
+  }
+  w.Until([&] { return half.Types().ends_with("TDCZ"); });
+  CHECK(w.proxy.counts().withdrawn == 1);
+}
+
+TEST_CASE("what is malformed costs its own connection, with the SQLSTATE for it") {
+  World w;
+  w.Serve(kAnswer);
+  w.List();
+  const struct {
+    std::string bytes;
+    const char* code;
+  } cases[] = {
+      {"?", "08P01"},
+      {std::string("Q\xff\xff\xff\xff", 5), "08P01"},
+      {std::string("Q\0\0\0\4", 5), "08P01"},
+      {std::string("P\0\0\0\4", 5), "0A000"},
+  };
+  for (const auto& c : cases) {
+    Peer& bad = w.Client({});
+    bad.Say(c.bytes + std::string(5000, 'x'));
+    w.Until([&] { return bad.ended; });
+    CHECK(bad.Saw(c.code));
+  }
+  Peer& good = w.Client({Ask("any")});
+  w.Until([&] { return good.Types().ends_with("TDCZ"); });
+}
+
+TEST_CASE("an answer that nobody asked for costs the data server its connection, and nothing else") {
+  World w;
+  DataServer& server = w.Serve([](Peer& p, const std::string&) { p.Say(Row("a") + Row("b")); });
+  w.List();
+  Peer& client = w.Client(Texts(8, Ask("any")));
+  w.Until([&] { return server.queries.size() == 8 && client.Types().ends_with("TDCZ"); });
+  CHECK_FALSE(client.Saw("1b"));
+  CHECK(std::ranges::count_if(server.peers, [](const auto& p) { return p->ended; }) >= 7);
+}
+
+TEST_CASE("an empty query is answered as such only once requests can be served; SSL is declined") {
+  World w;
+  w.Serve(kAnswer);
+  Peer& early = w.Client({""});
+  w.Until([&] { return early.Saw("57P03"); });
+  w.List();
+  Peer& later = w.Client({""});
+  w.Until([&] { return later.Types().ends_with("IZ"); });
+  w.clients.push_back(std::make_unique<Peer>());
+  Peer& ssl = *w.clients.back();
+  bool full = false;
+  ssl.connection = Connection::Open({"127.0.0.1", w.front.port()}, ssl, 4096, 4096, &full);
+  ssl.Say(std::string("\0\0\0\x08\x04\xd2\x16\x2f", 8));
+  w.Until([&] { return ssl.bytes == "N"; });
+}
+
+TEST_CASE("a stop finishes what was taken, closes clients between requests and then ends") {
+  World w;
+  DataServer& server = w.Serve(kSilent);
+  w.List();
+  Peer& idle = w.Client({""});
+  Peer& busy = w.Client({Ask("any")});
+  w.Until([&] { return server.queries.size() == 1 && idle.Saw("I"); });
+  bool done = false;
+  w.front.Drain([&] { done = true; });
+  Peer& late = w.Client({""});  // connections still come for a while
+  w.Until([&] { return late.Types().ends_with("IZ"); });
+  w.Until([&] { return idle.ended && late.ended; });
+  CHECK_FALSE(done);
+  for (const auto& peer : server.peers) peer->Say(Row("v"));
+  w.Until([&] { return done && busy.Types().ends_with("TDCZ"); });
+}
+
+TEST_CASE("clients beyond the budget are taken in for idle ones") {
+  World w(100);  // 60 to share, 15 of them for backends
+  w.Serve(kAnswer);
+  w.List();
+  for (int i = 0; i < 70; ++i) w.Client({""});
+  w.Until([&] { return w.clients.back()->Types().ends_with("IZ"); });
+  CHECK(w.budget.clients() <= 45);
+  Peer& asks = w.Client({Ask("any")});
+  w.Until([&] { return asks.Types().ends_with("TDCZ"); });
+}
+
+TEST_CASE("the watch goes on from the version it has reached when its connection ends") {
+  net::Loop loop;
+  Texts asked;
+  std::vector<std::unique_ptr<Peer>> peers;
+  net::Listener agent(
+      loop, [] { return true; },
+      [&](net::ObjectPtr<GSocket> socket) {
+        peers.push_back(std::make_unique<Peer>());
+        Peer& peer = *peers.back();
+        peer.connection = Connection::Adopt(std::move(socket), peer, 65536, 65536);
+      });
+  REQUIRE(agent.Open({"127.0.0.1", 0}).empty());
+  discovery::RosterReader reader({"a"});
+  std::vector<std::int64_t> versions;
+  discovery::Watch watch(loop, {"127.0.0.1", agent.port()}, reader, 41, 1,
+                         [&](const discovery::RosterChange& change) { versions.push_back(change.revision); });
+  watch.Start();
+  const auto until = [&](const std::function<bool()>& holds) {
+    while (!holds()) g_main_context_iteration(nullptr, TRUE);
+  };
+  until([&] { return peers.size() == 1 && peers[0]->Saw("\r\n\r\n"); });
+  CHECK(peers[0]->Saw("GET /registry/instances?follow=1&since=41 HTTP/1.1\r\n"));
+  const std::string line = R"({"rev":43,"all":false,"targets":[{"uid":1}]})"
+                           "\n";  // its entry is malformed
+  peers[0]->Say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n2d\r\n" + line + "\r\n");
+  until([&] { return versions.size() == 1; });
+  peers[0]->connection->Close();
+  until([&] { return peers.size() == 2 && peers[1]->Saw("\r\n\r\n"); });
+  CHECK(peers[1]->Saw("since=43 "));
+}
+
+}  // namespace
+}  // namespace lynxgrade
