Let a client read why it was turned out before its connection closes

A close on unread bytes resets the connection, and the reset can overtake the error: Session::Fatal closed at once.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -9,6 +9,7 @@
 
 constexpr Duration kSweepEvery{1000000};
 constexpr Duration kStartupWithin{10000000};  // a connection that does not say who it is goes
+constexpr Duration kLeaveWithin{2000000};     // for a client to read why it was turned out
 // After SIGTERM the front layer still hands out connections for a while.
 constexpr Duration kStillComing{500000};
 constexpr Duration kQuiet{150000};
@@ -65,7 +66,9 @@
 void Front::Sweep() {
   std::vector<std::shared_ptr<Session>> late;
   for (const auto& [raw, session] : sessions_) {
-    if (session->silent() && loop_.Now() - session->since() > kStartupWithin) late.push_back(session);
+    const Duration quiet = loop_.Now() - session->since();
+    if (session->silent() && quiet > kStartupWithin) late.push_back(session);
+    if (session->leaving() && quiet > kLeaveWithin) late.push_back(session);
   }
   for (const auto& session : late) session->Close();
   sweep_.After(kSweepEvery, [this] { Sweep(); });
@@ -87,7 +90,7 @@
   leaving_ = true;
   std::vector<std::shared_ptr<Session>> idle;
   for (const auto& [raw, session] : sessions_) {
-    if (session->idle() || session->silent()) idle.push_back(session);
+    if (session->idle() || session->silent() || session->leaving()) idle.push_back(session);
   }
   for (const auto& session : idle) session->Close();
   if (sessions_.empty() && done_) std::exchange(done_, nullptr)();
--- a/src/front/session.cpp
+++ b/src/front/session.cpp
@@ -64,11 +64,16 @@
   const auto self = shared_from_this();
   const auto connection = connection_;
   working_ = true;
-  while (!connection->closed() && state_ != State::kAsking && connection->all_written()) {
+  while (!connection->closed() && state_ != State::kAsking && state_ != State::kLeaving &&
+         connection->all_written()) {
     if (!(state_ == State::kStartup ? TakeStartup() : TakeMessage())) break;
   }
   working_ = false;
   if (connection->closed()) return;
+  if (state_ == State::kLeaving) {
+    connection->in().Consume(connection->in().size());
+    if (connection->peer_done()) return Close();
+  }
   if (state_ != State::kAsking && connection->peer_done() && connection->all_written()) return Close();
   if (connection->in().room() > 0) connection->ResumeReading();
 }
@@ -257,7 +262,12 @@
   std::string out;
   pg::AppendError(out, "FATAL", code, message);
   Write(out);
-  Close();
+  if (connection_->closed()) return;
+  // Closing on bytes that were not read would reset the connection, and the reset would overtake the error.
+  // So only the sending ends; the rest is thrown away until the client closes, or the sweep does.
+  state_ = State::kLeaving;
+  since_ = front_.loop_.Now();
+  connection_->EndSending();
 }
 
 }  // namespace lynxgrade::front
--- a/src/front/session.h
+++ b/src/front/session.h
@@ -39,11 +39,12 @@
 
   // Between requests, with nothing of one read or waiting to be written.
   bool idle() const { return state_ == State::kReady && connection_->all_written(); }
+  bool leaving() const { return state_ == State::kLeaving; }
   bool silent() const { return state_ == State::kStartup; }
   Time since() const { return since_; }
 
  private:
-  enum class State { kStartup, kReady, kAsking };
+  enum class State { kStartup, kReady, kAsking, kLeaving };
 
   void OnReadable() override { Work(); }
   void OnWritten() override;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -182,6 +182,13 @@
     out_.Consume(static_cast<std::size_t>(count));
   }
   writer_.reset();
+  if (ending_) g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+}
+
+void Connection::EndSending() {
+  if (closed() || broken_) return;
+  ending_ = true;
+  Flush();
 }
 
 void Connection::PauseReading() {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -61,6 +61,8 @@
   // Back-pressure: while paused nothing is read, so the peer's window fills.
   void PauseReading();
   void ResumeReading();
+  // Ends the sending once all is written; the peer can still be read.
+  void EndSending();
   // Whether bytes or an end have come that were not read yet.
   bool SomethingCame() const;
   void Close();
@@ -88,6 +90,7 @@
   bool paused_ = false;
   bool peer_done_ = false;
   bool broken_ = false;
+  bool ending_ = false;
 };
 
 }  // namespace lynxgrade::net
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -317,7 +317,7 @@
   };
   for (const auto& c : cases) {
     Peer& bad = w.Client({});
-    bad.Say(c.bytes + std::string(5000, 'x'));
+    bad.Say(c.bytes + std::string(200000, 'x'));  // still sending when the error comes
     w.Until([&] { return bad.ended; });
     CHECK(bad.Saw(c.code));
   }
