--- a/src/front/session.cpp
+++ b/src/front/session.cpp
@@ -12,6 +12,7 @@
 
 // Messages taken at a time: a client that sends hundreds at once must not keep the others waiting.
 constexpr int kTakenAtOnce = 16;
+constexpr std::int64_t kMostMs = std::int64_t{1} << 50;  // of a Unix time: later ones overflow as microseconds
 // What a client may still send after it was told to go. More is not worth reading: the connection is closed
 // on it, and the reset stops the sender.
 constexpr std::size_t kThrownAway = 256 * 1024;
@@ -249,6 +250,11 @@
   ask.event.cls = *cls;
   ask.event.tenant = tenant.value_or(0);
   if (kind.kind == ReadKind::kWrite || kind.kind == ReadKind::kSession) ask.event.session = comment.object;
+  // Of a session that carries its newest write; a time that has not come is nobody's write.
+  if (kind.kind == ReadKind::kSession && comment.after_ms) {
+    const Position after{std::chrono::milliseconds(std::min(*comment.after_ms, kMostMs))};
+    ask.event.target = std::min(after, front_.loop_.Now());
+  }
   ask.event.repeat = comment.retry;
   ask.event.time_left = front_.Within(std::chrono::milliseconds(*comment.budget_ms));
   ask.work = work;
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -56,14 +56,14 @@
     if (name == "t") comment.tenant = value;
     if (name == "k") comment.key = value;
     if (name == "r") comment.retry = value == "1";
-    if (name == "d" || name == "cluster") {
+    if (name == "d" || name == "cluster" || name == "after") {
       const auto number = ReadWhole(value);
       if (!number || *number < 0) {
         wrong = "the value of " + std::string(name) + " is not a whole number";
         return std::nullopt;
       }
-      if (name == "cluster") {
-        comment.cluster = number;
+      if (name != "d") {
+        (name == "cluster" ? comment.cluster : comment.after_ms) = number;
         continue;
       }
       comment.budget_ms = number;
--- a/src/session/keeper.cpp
+++ b/src/session/keeper.cpp
@@ -79,8 +79,9 @@
     return;
   }
   ++counts_.reads;
+  if (!carried_ && !Everywhere()) event.target.reset();  // where sessions carry nothing, it is noise
   if (carried_) {
-    if (event.since_write) event.target = now - *event.since_write;
+    if (event.since_write) event.target = std::max(event.target.value_or(Time{}), now - *event.since_write);
     if (!Everywhere()) return;
   }
   const Ledger::Known known = ledger_.Find(open.key);
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -99,6 +99,7 @@
       {"/* d=-1 */ SELECT 1", false, ""},
       {"/* d=99999999999999999999 */ SELECT 1", false, ""},
       {"/* cluster=two */ SELECT 1", false, ""},
+      {"/* cluster=2,after=soon */ SELECT 1", false, ""},
   };
   for (const auto& c : cases) {
     CAPTURE(c.statement);
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -282,6 +282,22 @@
   CHECK(rig.gone.back().reason == Reason::kLost);
 }
 
+TEST_CASE("keeper: what a session carries counts only where sessions are said to carry it") {
+  for (const bool carried : {false, true}) {
+    Settings settings = Rig::SettingsHere();
+    settings.sessions_carried = carried;
+    Keeper keeper(settings, Options{});
+    RequestEvent ask;
+    ask.target = At(7);
+    ask.since_write = Duration(2000);
+    Event event = ask;
+    keeper.Before(At(10), event);
+    const auto target = std::get<RequestEvent>(event).target;
+    if (carried) CHECK(*target == At(8));
+    if (!carried) CHECK_FALSE(target);
+  }
+}
+
 TEST_CASE("keeper: for one instance's own writes nothing is turned away, and positions pass as they come") {
   Rig rig{Options{}};
   rig.Write("s", kA, At(130));
