--- a/src/session/keeper.cpp
+++ b/src/session/keeper.cpp
@@ -7,6 +7,8 @@
 namespace lynxgrade::session {
 namespace {
 
+constexpr Duration kRounding{1000};  // positions come in whole milliseconds
+
 std::int64_t Milliseconds(Position position) { return position.time_since_epoch().count() / 1000; }
 
 }  // namespace
@@ -53,14 +55,30 @@
   return reigns_.try_emplace(group, options_.least_failover).first->second;
 }
 
+// Data servers are replaced all day long: what is said of those that are gone is forgotten with them.
 void Keeper::Take(Time, ListEvent& event) {
+  if (event.kind == ListKind::kError) return;
+  std::unordered_map<MemberId, GroupId> named;
   for (const ListEntry& entry : event.entries) {
-    if (entry.lifecycle == Lifecycle::kDeleted) {
-      groups_.erase(entry.member);
-    } else {
-      groups_[entry.member] = entry.group;
+    if (entry.lifecycle != Lifecycle::kDeleted) named[entry.member] = entry.group;
+    if (entry.lifecycle == Lifecycle::kDeleted) Drop(entry.member);
+  }
+  if (event.kind != ListKind::kPartial) {
+    std::vector<MemberId> missing;
+    for (const auto& [member, group] : groups_) {
+      if (!named.contains(member)) missing.push_back(member);
     }
+    for (const MemberId member : missing) Drop(member);
   }
+  groups_.merge(named);
+}
+
+void Keeper::Drop(MemberId member) {
+  const auto group = groups_.find(member);
+  if (group == groups_.end()) return;
+  const auto reigns = reigns_.find(group->second);
+  if (reigns != reigns_.end()) reigns->second.Drop(member);
+  groups_.erase(group);
 }
 
 // ---- Reads and writes ---------------------------------------------------------------------------------
@@ -157,8 +175,11 @@
     ledger_.Note(open->second.key, mark);
     if (wrote_) wrote_(open->second.group, open->second.key, mark);
   }
+  // A primary stands at the present, and its position is rounded down: only one that speaks of the past has
+  // been replaced.
+  const Duration rounding = event.note.primary.value_or(false) ? kRounding : Duration{0};
   if (served && !write && Everywhere() && open->second.target && event.note.position &&
-      !event.note.primary.value_or(false) && *event.note.position < *open->second.target) {
+      *event.note.position + rounding < *open->second.target) {
     // No data server that goes by the rules answers like this; whoever does has lost part of its log.
     ++counts_.too_old;
     event.outcome = Outcome::kMiss;
--- a/src/session/keeper.h
+++ b/src/session/keeper.h
@@ -127,6 +127,7 @@
 
   bool Everywhere() const { return options_.scope == Scope::kEverywhere; }
   void Take(Time now, ListEvent& event);
+  void Drop(MemberId member);
   void Take(Time now, RequestEvent& event);
   void Take(Time now, OutcomeEvent& event);
   void Take(Time now, ProbeEvent& event);
--- a/src/session/reigns.h
+++ b/src/session/reigns.h
@@ -40,6 +40,9 @@
   // been heard yet.
   std::optional<Position> Believed() const;
 
+  // The member is gone; what it said as a replica proves nothing any more.
+  void Drop(MemberId member) { standby_.erase(member); }
+
   bool InDoubt(const Mark& mark) const;
   // Whether a write answered in (from, to], by whomever, may be lost.
   bool InDoubt(Position from, Position to) const;
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -254,6 +254,21 @@
   CHECK(rig.Answer(rig.Ask(0, "s").id, kB, false, At(130)).outcome == Outcome::kOk);
 }
 
+TEST_CASE("keeper: a replaced primary that still answers is not believed, whenever it spoke") {
+  Rig rig;
+  rig.Write("s", kA, At(100));
+  rig.Answer(rig.Ask(0, "x").id, kB, false, At(100));
+  rig.Write("s", kB, At(3000));
+  rig.now = At(3001);
+  // From before the change: it is old. From after it: a second primary, and the session's write is in doubt.
+  CHECK(rig.Answer(rig.Ask(0, "s").id, kA, true, At(2000)).outcome == Outcome::kMiss);
+  CHECK(rig.gone.empty());
+  const RequestId read = rig.Ask(0, "s").id;
+  rig.Answer(read, kA, true, At(3001));
+  REQUIRE(rig.gone.size() == 2);  // the one that is waiting to be sent again, and this one
+  CHECK((rig.gone[0].id == read || rig.gone[1].id == read));
+}
+
 // Cut down to what is believed, such a position would vouch for a tail that its member may not hold.
 TEST_CASE("keeper: a position from past where the known reign may have ended is kept from the module") {
   Rig rig;
