Rotate the shared key under load in the laboratory; totals of own-reads in the log

Need: key rotation was tried on the envelope alone, and an operator could not see how many own-reads had a precise target, waited on a conservative one or were refused, and why.

Where own-reads are guarded everywhere, the 5 s totals have a line for them.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -76,7 +76,7 @@
   of_sessions->add_option("--rate", sessions.per_s, "sessions begun a second")
       ->check(CLI::Range(1.0, 2000.0));
   of_sessions->add_option("--only", sessions.only, "one scenario")
-      ->check(CLI::IsMember({"calm", "restart_disk", "restart_bare", "promotion"}));
+      ->check(CLI::IsMember({"calm", "restart_disk", "restart_bare", "promotion", "rotation"}));
   of_sessions->add_option("--json", sessions.json, "also write the figures to this file");
   of_sessions->add_flag("--logs", sessions.keep_logs, "keep the poolers' logs and say where");
   ExchangeOptions exchange;
--- a/lab/pooler_process.cpp
+++ b/lab/pooler_process.cpp
@@ -118,6 +118,10 @@
   return process_ == nullptr ? error.text() : std::string();
 }
 
+void PoolerProcess::Signal(int signal) {
+  if (running()) g_subprocess_send_signal(process_.get(), signal);
+}
+
 void PoolerProcess::End(int signal) {
   if (!running()) return;
   g_subprocess_send_signal(process_.get(), signal);
--- a/lab/pooler_process.h
+++ b/lab/pooler_process.h
@@ -44,6 +44,7 @@
   std::string Start();
   // Sends the signal and waits for the end.
   void End(int signal);
+  void Signal(int signal);
   bool running() const { return process_ != nullptr; }
   // Whether it ended by itself.
   bool Crashed() const;
--- a/lab/sessions_run.cpp
+++ b/lab/sessions_run.cpp
@@ -97,7 +97,7 @@
 
 struct Tally {
   std::uint64_t sessions = 0, writes = 0, acked = 0, reads = 0, served = 0, stale = 0, refused = 0,
-                failed = 0, broken = 0, unanswered = 0, crashed = 0, lost_commits = 0;
+                failed = 0, broken = 0, unanswered = 0, crashed = 0, lost_commits = 0, complaints = 0;
   std::vector<double> read_ms;  // served reads
 
   double Percentile(double part) const {
@@ -114,13 +114,17 @@
   bool disk;
   bool kill_pooler;
   bool lose_primary;  // and the pooler dies while it is replaced
+  bool rotate;        // the shared key, in three steps, under load
 };
 
+constexpr const char* kKeys = "peers.key";
+const std::string kOldKey = "1 " + std::string(64, 'a') + "\n";
+const std::string kNewKey = "2 " + std::string(64, 'b') + "\n";
+
 constexpr Scenario kScenarios[] = {
-    {"calm", true, false, false},
-    {"restart_disk", true, true, false},
-    {"restart_bare", false, true, false},
-    {"promotion", true, true, true},
+    {"calm", true, false, false, false},         {"restart_disk", true, true, false, false},
+    {"restart_bare", false, true, false, false}, {"promotion", true, true, true, false},
+    {"rotation", false, false, false, true},
 };
 
 class Run {
@@ -138,7 +142,7 @@
                                                       Group::Options{3, kMs * 25, kMs * 1500}, kMs * 2));
       agent_.List(*groups_.back());
     }
-    const std::string key = folder_.Write("peers.key", "1 " + std::string(64, 'a') + "\n");
+    const std::string key = folder_.Write(kKeys, kOldKey);
     const std::uint16_t udp[2] = {FreePort(true), FreePort(true)};
     for (int i = 0; i < 2; ++i) {
       const std::string name = "n" + std::to_string(i + 1);
@@ -167,6 +171,7 @@
     fault_.After(Duration(static_cast<std::int64_t>(length_s * 0.4e6)), [this] { Strike(); });
     Until([this] { return begun_ == options_.sessions && open_ == 0; }, Duration(120'000'000));
     for (const auto& pooler : poolers_) tally_.crashed += pooler->Crashed();
+    tally_.complaints = Complaints();
     for (const auto& group : groups_) tally_.lost_commits += group->group().lost();
     if (options_.keep_logs) std::printf("# logs of %s in %s\n", scenario_.name, KeepLogs().c_str());
     return tally_;
@@ -318,8 +323,34 @@
     tally_.unanswered += end == End::kSilent;
   }
 
+  // As the operators' page says: the new key is known everywhere before anybody signs with it.
+  void Rotate() {
+    Duration at{0};
+    for (const std::string& keys : {kOldKey + kNewKey, kNewKey + kOldKey, kNewKey}) {
+      Later(at, [this, keys] {
+        folder_.Write(kKeys, keys);
+        for (const auto& pooler : poolers_) pooler->Signal(SIGHUP);
+      });
+      at += kMs * 700;
+    }
+  }
+
+  // Lines of the poolers' logs that say a datagram was dropped, or a key file refused.
+  std::uint64_t Complaints() const {
+    std::uint64_t count = 0;
+    for (const char* name : {"/n1.log", "/n2.log"}) {
+      std::ifstream log(folder_.path() + name);
+      for (std::string line; std::getline(log, line);) {
+        count += line.find("is dropped") != std::string::npos ||
+                 line.find("the old keys stay") != std::string::npos;
+      }
+    }
+    return count;
+  }
+
   void Strike() {
     struck_ = loop_.Now();
+    if (scenario_.rotate && on_) Rotate();
     if (scenario_.lose_primary) {
       for (const auto& group : groups_) {
         const auto primary = group->group().primary();
@@ -367,7 +398,8 @@
     std::fflush(stdout);
     figures[name] = value;
   };
-  std::uint64_t stale = 0, stale_off = 0, unanswered = 0, sessions = 0, reads = 0, refused = 0, crashed = 0;
+  std::uint64_t stale = 0, stale_off = 0, unanswered = 0, sessions = 0, reads = 0, refused = 0, crashed = 0,
+                dropped = 0;
   double added = 0;
   for (const Scenario& scenario : kScenarios) {
     if (!options.only.empty() && options.only != scenario.name) continue;
@@ -390,6 +422,10 @@
     print("unanswered" + of, static_cast<double>(on.unanswered));
     print("broken" + of, static_cast<double>(on.broken));
     print("commits_lost" + of, static_cast<double>(on.lost_commits));
+    if (scenario.rotate) {
+      print("datagrams_dropped" + of, static_cast<double>(on.complaints));
+      dropped += on.complaints;
+    }
     sessions += on.sessions;
     reads += on.reads;
     refused += on.refused;
@@ -408,7 +444,8 @@
   print("unanswered", static_cast<double>(unanswered));
   print("crashed", static_cast<double>(crashed));
   if (!options.json.empty()) std::ofstream(options.json) << figures.dump(2) << "\n";
-  if (stale > 0 || unanswered > 0 || crashed > 0) return 1;
+  // While keys are rotated no datagram may meet an instance that does not know its key.
+  if (stale > 0 || unanswered > 0 || crashed > 0 || dropped > 0) return 1;
   if (stale_off == 0) {
     std::fprintf(
         stderr,
--- a/src/pg/statement.h
+++ b/src/pg/statement.h
@@ -18,7 +18,7 @@
   std::string_view object;                // the first quoted text of the statement itself
   std::optional<std::int64_t> budget_ms;  // d
   std::optional<std::int64_t> cluster;
-  std::optional<std::int64_t> after_ms;  // a position, as Unix time: what the session has written, by its own word
+  std::optional<std::int64_t> after_ms;  // what its session has written, by its own word: a Unix time
   bool retry = false;
   std::size_t budget_from = 0;  // where the digits of d stand
   std::size_t budget_size = 0;
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -204,6 +204,16 @@
       "open, {} clients, {} backends ({} idle)",
       n.taken, n.served, n.refused, n.failed, n.withdrawn, n.attempts, n.probes, proxy_.open(),
       budget_.clients(), budget_.backends(), pool_.idle());
+  const session::Keeper& keeper = proxy_.keeper();
+  if (keeper.scope() == session::Scope::kEverywhere) {
+    const session::KeeperCounts& of = keeper.counts();
+    spdlog::info(
+        "sessions: own-reads {}, of a known write {}, on a conservative target {}, refused for a lost write "
+        "{}, for "
+        "what is not known {}; answers that were too old {}; {} sessions known, {} forgotten",
+        of.reads, of.marked, of.floored, of.lost, of.unknown, of.too_old, keeper.ledger().size(),
+        keeper.ledger().evicted());
+  }
   report_.After(kReportEvery, [this] { Report(); });
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -27,6 +27,7 @@
   void ListChanged(ListEvent event);
   std::size_t open() const { return open_; }
   session::Keeper& keeper() { return keeper_; }
+  const session::Keeper& keeper() const { return keeper_; }
   // To be called when the keeper has learnt something from elsewhere.
   void Relearnt();
 
