--- a/src/front/session.cpp
+++ b/src/front/session.cpp
@@ -12,7 +12,7 @@
 
 // Messages taken at a time: a client that sends hundreds at once must not keep the others waiting.
 constexpr int kTakenAtOnce = 16;
-constexpr std::int64_t kMostMs = std::int64_t{1} << 50;  // of a Unix time: later ones overflow as microseconds
+constexpr std::int64_t kMostMs = std::int64_t{1} << 50;  // of a Unix time: later ones would overflow in us
 // What a client may still send after it was told to go. More is not worth reading: the connection is closed
 // on it, and the reset stops the sender.
 constexpr std::size_t kThrownAway = 256 * 1024;
