--- a/lab/sessions_run.cpp
+++ b/lab/sessions_run.cpp
@@ -240,7 +240,7 @@
                     [this] { Arrive(); });
   }
 
-  // Seven in ten rereads go to another pooler than the write: that is what is tested here.
+  // Half of the rereads go to another pooler than the write: that is what is tested here.
   std::uint16_t SomePooler() { return ports_[Uniform() < 0.5 ? 0 : 1]; }
 
   std::string Head(const Session& session, const char* cls, int budget_ms) {
--- a/src/session/keeper.cpp
+++ b/src/session/keeper.cpp
@@ -216,7 +216,7 @@
   reigns.Forget(now - options_.recall);
   ++counts_.losses;
   if (reign_changed_) reign_changed_();
-  if (say_ && reigns.primary()) {
+  if (say_ && reigns.primary() && options_.refuse_doubt) {
     say_("group " + std::to_string(static_cast<std::int64_t>(group)) + ": data server " +
          std::to_string(static_cast<std::uint32_t>(*reigns.primary())) + " is primary since " +
          std::to_string(Milliseconds(reigns.since())) + " at the latest, known to have held the log up to " +
