Let writes look for their primary; a refused connect rests one member alone

Ruled out: the data servers' cap on connections (no 53300 at the start of a connection in any log, 100 connections a server at most); CPU (0.02 of a core).

Change: a write whose group shows no primary, or whose shown one is lost or missed, asks members whose role was not heard within 0.5 s, the never heard first, drawn by chance, keeping two attempts for the one that is found; a miss costs no work. A refused connect rests its member 50 ms doubling to 3.2 s, and gives back idle connections to that member alone.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -23,6 +23,7 @@
 constexpr int kMostFull = 4;            // longest rest of a member that turns work away, in pauses
 constexpr int kShortPauses = 100;       // how long connections are given back after one was not to be had
 constexpr int kMostDoublings = 4;       // of either rest
+constexpr int kMostRefusedDoublings = 6;  // of the rest of one that refuses connections
 constexpr double kRetryShare = 0.2;     // retry budget earned by a request: a fifth of it again
 constexpr double kRetryBurst = 20;      // most retries saved up
 constexpr double kColdSafety = 0.6;     // of the cold budget in use: own shares are estimates
@@ -52,6 +53,8 @@
 constexpr double kCheapLow = 0.8;       // bounds of that judgement: no class is to be starved
 constexpr double kCheapHigh = 1.6;
 constexpr double kLate = 8;              // latencies of its class that an attempt called off counts at most
+constexpr int kRolePauses = 10;         // how long a member heard as replica is not asked for its role by a write
+constexpr std::size_t kKeptForFound = 2;  // attempts that a write does not spend on looking for its primary
 constexpr Duration kListAge{5000000};    // a late list's word on the role is this old
 constexpr Duration kGoneKept{30000000};  // a member that is gone; longer than one has been seen to be away
 
@@ -89,10 +92,12 @@
   double share_each = 0;           // EWMA of the same over own requests in flight: what each adds
   double fail = 0;
   int failures = 0;   // in a row
+  int lost = 0;       // of them the newest, in a row, that brought no answer at all
   bool down = false;  // one of them while an attempt was out, or a probe found nothing there
   int rests = 0;
   Time answered{};  // when the newest attempt that it answered was sent
   Time resting_until{};
+  Time short_until{};  // of connections
   double queued = 0;
   std::map<std::pair<RequestId, AttemptNumber>, Outstanding> out;
   double cold_tokens = 0;
@@ -201,9 +206,10 @@
 
   void StartedAt(Member& m, Time when) {
     m.started = when;
+    m.resting_until = now_;
     m.slowness = 1;
     m.fail = 0;
-    m.failures = m.rests = 0;
+    m.failures = m.lost = m.rests = 0;
     m.cold_tokens = 0;
     m.cold_at = now_ - s_.fall_time / 2;  // filled
   }
@@ -256,6 +262,9 @@
 
   bool Chance(double odds) { return std::uniform_real_distribution<double>(0, 1)(random_) < odds; }
 
+  // Whether its process seems to have ended: one refused connection may be a shortage.
+  static bool Lost(const Member& m) { return m.down || m.lost > 1; }
+
   bool Usable(const Member& m) const { return !m.leaving && now_ >= m.resting_until; }
 
   // ---- Roles and positions --------------------------------------------------------------------------
@@ -564,15 +573,24 @@
         m != nullptr && (r.role_misses == 0 || (r.role_misses == 1 && !r.missed.contains(m->id)));
     if (m != nullptr && Usable(*m) && MaySend(r, *m) && (untried || new_role)) return m;
     if (m == nullptr || !Usable(*m)) g.searching = true;
-    if (r.role_misses != 1 || new_role) return nullptr;
-    Member* next = nullptr;  // one try at the next member: the one that has most of the log
-    for (MemberId id : g.members) {
-      Member& other = members_.at(id);
-      if (r.missed.contains(id) || !Usable(other) || !MaySend(r, other)) continue;
-      if (next == nullptr || (other.proven && (!next->proven || *other.proven > *next->proven)))
-        next = &other;
+    const bool shown = m != nullptr && !Lost(*m) && !m->leaving;  // it only rests, or is cold
+    return new_role || (shown && r.role_misses == 0) ? nullptr : Unasked(r, m);
+  }
+
+  // Nobody is shown as primary, or it missed: the write itself asks whose role was not heard lately, those
+  // never heard first. A miss costs a member nothing, a probe has its price; and of a hundred proxies each
+  // hears of a role too seldom to wait for it. Two attempts are kept for the one that is found.
+  Member* Unasked(const Request& r, const Member* shown) {
+    if (r.attempts.size() + kKeptForFound >= s_.max_attempts) return nullptr;
+    std::vector<Member*> unheard, others;
+    for (MemberId id : groups_[r.ask.group].members) {
+      Member& m = members_.at(id);
+      if (&m == shown || r.missed.contains(id) || !Usable(m) || !MaySend(r, m)) continue;
+      if (m.replica_at && now_ - *m.replica_at < kPause * kRolePauses) continue;
+      (m.replica_at ? others : unheard).push_back(&m);
     }
-    return next;
+    const std::vector<Member*>& from = unheard.empty() ? others : unheard;
+    return from.empty() ? nullptr : from[random_() % from.size()];
   }
 
   // How little a request earns for its work, against the classes that want the same members.
@@ -673,7 +691,7 @@
     }
     if (event.report) TakeReport(m, *event.report);
     Judge(m, was, event.outcome, std::min(event.taken, now_ - was.sent));
-    if (now_ < short_until_ && m.out.empty()) out_->push_back(CloseIdle{m.id});
+    if (now_ < m.short_until && m.out.empty()) out_->push_back(CloseIdle{m.id});
     const auto it = requests_.find(event.id);
     if (it == requests_.end()) return;
     Request& r = it->second;
@@ -698,7 +716,7 @@
       m.share_each += kLatencyGain * (taken / usual / static_cast<double>(was.beside + 1) - m.share_each);
       usual += kClassGain * (taken > usual ? kClassRise : 1) * (taken - usual);
       m.fail -= kFailGain * m.fail;
-      m.failures = 0;
+      m.failures = m.lost = 0;
       m.down = false;
       m.answered = std::max(m.answered, was.sent);
       if (m.fail < kFailAfterRest / 2) m.rests = 0;
@@ -714,6 +732,7 @@
     if (outcome == Outcome::kMiss || outcome == Outcome::kCancelled || outcome == Outcome::kVoid) return;
     ++m.failures;
     const bool lost = outcome == Outcome::kUnreachable || outcome == Outcome::kBroken;
+    m.lost = lost || outcome == Outcome::kTimeout ? m.lost + 1 : 0;
     if (IsPrimary(m) && (lost || outcome == Outcome::kTimeout)) groups_[m.group].searching = true;
     if (outcome == Outcome::kFull && now_ >= m.resting_until) {
       // Its queue is full or it drains: more work would be turned away too, and counts as load.
@@ -724,7 +743,7 @@
       // A process that broke off and cannot be reached may be starting anew, long before the list says so.
       if (m.failures > 1 && m.down) StartedAt(m, now_);
       if (!m.down && time < s_.connect_timeout / 2) {
-        ConnectionsShort(m);
+        ConnectionRefused(m);
       } else {
         Rest(m, kDownPauses);
       }
@@ -736,16 +755,15 @@
     }
   }
 
-  // Turned away at the door, not down: members that run short of connections do so at once. What is short is
-  // kept idle by all proxies, so for a while each gives its own back after use. Covers any such cap.
-  // Costs handshakes; a process that is down is only asked more often.
-  void ConnectionsShort(Member& m) {
-    PaidProbe(m);  // tells whether it is down
-    m.resting_until = std::max(m.resting_until, now_ + Jittered(kPause));
-    for (auto& [id, other] : members_) {
-      if (now_ >= short_until_ && other.out.empty()) out_->push_back(CloseIdle{id});
-    }
-    short_until_ = now_ + kPause * kShortPauses;
+  // Refused at once: it runs short of connections, or its process has ended; a probe may tell, but not all
+  // that miss it can pay for one. Either way it rests the longer, the more often in a row, and connections
+  // to it alone are given back after use for a while: what is short is kept idle by all proxies. To give
+  // back those to all members made every proxy open them anew for as long as one dead member was listed.
+  void ConnectionRefused(Member& m) {
+    PaidProbe(m);
+    const int doublings = std::min(m.failures - 1, kMostRefusedDoublings);
+    m.resting_until = std::max(m.resting_until, now_ + Jittered(kPause * (1 << doublings)));
+    m.short_until = now_ + kPause * kShortPauses;
   }
 
   void Rest(Member& m, int pauses) {
@@ -960,7 +978,6 @@
   std::mt19937_64 random_;
   Time now_{};
   Time handled_{};
-  Time short_until_{};
   Actions* out_ = nullptr;
   bool stirred_ = false;
   std::map<MemberId, Member> members_;
