Spread the fleet's calls for the list: back off with full jitter, serve at once from the known list

Cause: Watch::Again() waits 100 ms doubling to 0.8 s, half of it fixed, whatever the number of instances: a hundred of them hold the one service above what it can answer, so that it stays there (a metastable failure). Start() calls at once, so all that start together call together; and a start is ready only 1 s later if that call fails, though the configuration holds a list.

Ruled out: the agent's address, the head and line time-outs (the 503 are whole and come within 2 s), a lost version (the list comes from version 0 on where a call succeeds).

Change: fleet::Backoff, free of clock and chance: a window of 150 ms + 20 ms for each further instance (peers_total), doubling three times, full jitter, also before the first call; a success starts anew. A pooler that was given a list is ready at once. One logged line an episode.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -2,7 +2,6 @@
 
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
 
 namespace lynxgrade::discovery {
 namespace {
@@ -10,15 +9,17 @@
 constexpr Duration kConnectWithin{1000000};
 constexpr Duration kHeadWithin{3000000};
 constexpr Duration kLineWithin{5000000};  // an empty line is due every 2 s
-constexpr Duration kFirstPause{100000};
-constexpr int kMostDoublings = 3;  // an agent that has just moved is found again within about a second
+// Waits between calls: one instance's first is up to this; each further instance widens it, so that all together
+// make about fifty calls a second in the first round and six from the fourth on.
+constexpr Duration kFirstPause{150000};
+constexpr Duration kSpacing{20000};
 constexpr std::size_t kMostLine = 4 << 20;
 constexpr std::size_t kRing = 64 * 1024;
 
 }  // namespace
 
 Watch::Watch(net::Loop& loop, net::Address address, RosterReader& reader, std::int64_t since,
-             std::uint64_t seed, Changed changed)
+             std::uint64_t seed, std::uint32_t instances, Changed changed)
     : loop_(loop),
       address_(std::move(address)),
       reader_(reader),
@@ -26,13 +27,18 @@
       random_(static_cast<std::minstd_rand::result_type>(seed)),
       changed_(std::move(changed)),
       deadline_(loop),
-      again_(loop) {}
+      again_(loop),
+      backoff_(instances, kFirstPause, kSpacing) {}
 
 Watch::~Watch() {
   if (connection_ != nullptr) connection_->Close();
 }
 
 void Watch::Start() {
+  again_.After(backoff_.Spread(Chance()), [this] { Call(); });
+}
+
+void Watch::Call() {
   lines_.clear();
   response_.emplace();
   bool full = false;
@@ -45,9 +51,9 @@
   if (address.host == address_.host && address.port == address_.port) return;
   address_ = address;
   if (connection_ != nullptr) connection_->Close();
-  failures_ = 0;  // those of the old address
-  again_.Clear();
-  Start();
+  backoff_.Succeeded();  // the failures were the old address's
+  deadline_.Clear();
+  Call();
 }
 
 void Watch::ExpectWithin(Duration time, const char* what) {
@@ -88,7 +94,7 @@
 }
 
 void Watch::TakeLine(const std::string& line) {
-  failures_ = 0;
+  backoff_.Succeeded();
   heard_ = true;
   if (line.find_first_not_of(" \t\r") == std::string::npos) return;
   std::string wrong;
@@ -102,15 +108,19 @@
 void Watch::OnPeerDone() { Again("the connection was closed"); }
 void Watch::OnBroken() { Again("the connection broke"); }
 
+double Watch::Chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
 // What was missed comes first on the next watch, as it asks from the version that was reached.
 void Watch::Again(const char* why) {
-  spdlog::info("discovery: {}; watching anew from version {}", why, since_);
   if (connection_ != nullptr) connection_->Close();
   deadline_.Clear();
-  const int doubled = 1 << std::min(failures_++, kMostDoublings);
-  const double part = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
-  again_.After(Duration(static_cast<std::int64_t>(part * static_cast<double>(kFirstPause.count() * doubled))),
-               [this] { Start(); });
+  const Duration wait = backoff_.Next(Chance());
+  if (backoff_.failures() == 1) {
+    spdlog::info("discovery: {}; watching anew from version {}", why, since_);
+  } else {
+    spdlog::debug("discovery: {}, {} times in a row", why, backoff_.failures());
+  }
+  again_.After(wait, [this] { Call(); });
 }
 
 }  // namespace lynxgrade::discovery
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -9,6 +9,7 @@
 
 #include "discovery/http.h"
 #include "discovery/roster.h"
+#include "fleet/backoff.h"
 #include "net/connection.h"
 #include "net/loop.h"
 
@@ -18,10 +19,12 @@
  public:
   using Changed = std::function<void(const RosterChange&)>;
 
+  // `instances`: how many watch the same discovery, at least 1: the waits between calls grow with them.
   Watch(net::Loop& loop, net::Address address, RosterReader& reader, std::int64_t since, std::uint64_t seed,
-        Changed changed);
+        std::uint32_t instances, Changed changed);
   ~Watch();
 
+  // Calls after a wait that is spread over the instances: all may have started together.
   void Start();
   // Watches there from now on, from the version that was reached. An agent there that does not know that
   // version sends its whole list, which stands in place of all before, whatever its number.
@@ -36,7 +39,9 @@
 
   void TakeLines();
   void TakeLine(const std::string& line);
+  void Call();
   void Again(const char* why);
+  double Chance();
   void ExpectWithin(Duration time, const char* what);
 
   net::Loop& loop_;
@@ -50,7 +55,8 @@
   std::string lines_;
   net::Timer deadline_;
   net::Timer again_;
-  int failures_ = 0;
+  fleet::Backoff backoff_;
+
   bool heard_ = false;
 };
 
--- /dev/null
+++ b/src/fleet/backoff.h
@@ -0,0 +1,35 @@
+// How long an instance waits before it tries again at something that all instances of its fleet want at once: a
+// call to discovery, a service that has just come back. Owns the count of failures; has no clock and no chance
+// of its own.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace lynxgrade::fleet {
+
+using Duration = std::chrono::duration<std::int64_t, std::micro>;
+
+// Exponential back-off with full jitter: each wait is drawn evenly from a window that doubles with each failure.
+// The window grows with the number of instances, so that the calls of all of them together, over every wait, stay
+// under the same rate: N instances that begin at the same moment make about 2 N / window calls a second, which is
+// 1 / spacing in the first round and an eighth of that from the fourth on.
+class Backoff {
+ public:
+  // `instances`: how many try, at least 1; each widens the first window by `spacing`, beside a `least` window
+  // that a single one has.
+  Backoff(std::uint32_t instances, Duration least, Duration spacing);
+
+  // The wait after one more failure; `chance` is even in [0, 1).
+  Duration Next(double chance);
+  // The wait before a first try that all instances make at the same event; counts as no failure.
+  Duration Spread(double chance) const;
+  void Succeeded() { failures_ = 0; }
+  int failures() const { return failures_; }
+
+ private:
+  Duration window_;
+  int failures_ = 0;
+};
+
+}  // namespace lynxgrade::fleet
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -15,7 +15,6 @@
 
 constexpr Duration kReportEvery{5000000};
 constexpr Duration kLookAgain{20000};
-constexpr Duration kListWithin{1000000};  // how long a new pooler waits for a newer list than it was given
 
 }  // namespace
 
@@ -62,12 +61,13 @@
   const std::string no_sessions = StartSessions();
   if (!no_sessions.empty()) return no_sessions;
   proxy_.ListChanged(std::move(first));
-  watch_.emplace(loop_, config_.discovery, reader_, since, config_.seed,
+  watch_.emplace(loop_, config_.discovery, reader_, since, config_.seed, config_.settings.peers_total,
                  [this](const discovery::RosterChange& change) { Changed(change); });
   const std::string fault = front_.Listen(config_.listen);
   if (!fault.empty()) return "cannot listen on " + config_.listen.host + ": " + fault;
   watch_->Start();
-  list_late_.After(kListWithin, [this] { ReadyIfListed(); });
+  // It serves from the list that it was given, at once: what has changed since is told when discovery can.
+  ReadyIfListed();
   report_.After(kReportEvery, [this] { Report(); });
   term_.reset(g_unix_signal_source_new(SIGTERM));
   interrupt_.reset(g_unix_signal_source_new(SIGINT));
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -631,7 +631,7 @@
   REQUIRE(agent.Open({"127.0.0.1", 0}).empty());
   discovery::RosterReader reader({"a"});
   std::vector<std::int64_t> versions;
-  discovery::Watch watch(loop, {"127.0.0.1", agent.port()}, reader, 41, 1,
+  discovery::Watch watch(loop, {"127.0.0.1", agent.port()}, reader, 41, 1, 1,
                          [&](const discovery::RosterChange& change) { versions.push_back(change.revision); });
   watch.Start();
   const auto until = [&](const std::function<bool()>& holds) {
