Share a cold member out by parts of each draw, not by whole requests saved up by chance

Cause: FillColdBudget() at 100 poolers. A pooler's part (0.006 s of work a second) is far below one request, so it was given out as whole requests by chance, each valid for about 1.5 s; with 0.2 requests a second for a given member most lapsed unused or were not there when one came.

Ruled out: the factor itself (3 is far off: 0.24 of it was sent); time-outs (cold members answered).

Change: where the part is below one request, a draw may fall on the member at most as often as the part is of the work drawn for in its group (fleet::Draw, fleet::Demand); what the cap cuts off goes to the other members. Each repeated draw counts as wanted work, so parts still add up. Unaltered where the part holds whole requests. The part grows by up to 0.4 with age: a member is ever more under-rated by the slowest warm-up that the settings allow.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,6 +1,9 @@
 // The decisions of lynxgrade: every rule, table and tuned value. The interface is balance.h.
 #include "balance.h"
 
+#include "fleet/demand.h"
+#include "fleet/draw.h"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -26,7 +29,8 @@
 constexpr int kMostRefusedDoublings = 6;  // of the rest of one that refuses connections
 constexpr double kRetryShare = 0.2;     // retry budget earned by a request: a fifth of it again
 constexpr double kRetryBurst = 20;      // most retries saved up
-constexpr double kColdSafety = 0.6;     // of the cold budget in use: own shares are estimates
+constexpr double kColdSafety = 0.7;     // of the cold budget in use: own shares are estimates
+constexpr double kColdGrowth = 0.4;     // more of it in the end, as what it can do is under-rated ever more
 constexpr double kCarrySeconds = 5;     // smoothing of the load carried for a warm member
 constexpr double kProbePoints = 0.004;  // of the goal spent on routine probes at most
 constexpr std::size_t kMostProbes = 3;  // routine probes a beat
@@ -53,7 +57,7 @@
 constexpr double kCheapLow = 0.8;       // bounds of that judgement: no class is to be starved
 constexpr double kCheapHigh = 1.6;
 constexpr double kLate = 8;              // latencies of its class that an attempt called off counts at most
-constexpr int kRolePauses = 10;         // how long a member heard as replica is not asked for its role by a write
+constexpr int kRolePauses = 10;           // how long a write takes a member that was heard as replica for one
 constexpr std::size_t kKeptForFound = 2;  // attempts that a write does not spend on looking for its primary
 constexpr Duration kListAge{5000000};    // a late list's word on the role is this old
 constexpr Duration kGoneKept{30000000};  // a member that is gone; longer than one has been seen to be away
@@ -113,6 +117,7 @@
   std::vector<MemberId> members;
   std::uint64_t role_changes = 0;
   bool searching = false;
+  fleet::Demand demand[2];  // for its replicas, and for its primary
 };
 
 struct Attempt {
@@ -234,30 +239,54 @@
     return s_.start_capacity + (1 - s_.start_capacity) * std::clamp(grown, 0.0, 1.0);
   }
 
-  // This proxy's part of what a cold member may be sent: in proportion to what the proxy gets through a
-  // warm one, so that the proxies' parts add up whatever their sizes; and at least an even part of one
-  // core's work, which any member can do. Below one request the part is given by chance, whole and
-  // short-lived: among hundreds of proxies the parts still add up, and no store waits for one moment.
-  // Returns what may be saved up: a longer request than that goes when the budget is full, and leaves a debt.
-  double FillColdBudget(Member& m) {
+  // This proxy's part of what a cold member may be sent, in work a second: in proportion to what the proxy
+  // gets through a warm one, so that the proxies' parts add up whatever their sizes; and at least an even part of
+  // one core's work, which any member can do.
+  double ColdRate(const Member& m) const {
     const double carry = std::max(carry_, 1.0 / std::max(1u, s_.peers_total));
-    const double rate = kColdSafety * s_.overload_factor * WarmShare(m) * carry;
+    const double age = Cold(m) ? Seconds(now_ - *m.started) / std::max(1e-6, Seconds(s_.cold_time)) : 1;
+    const double safety = kColdSafety * (1 + kColdGrowth * std::clamp(age, 0.0, 1.0));
+    return safety * s_.overload_factor * WarmShare(m) * carry;
+  }
+
+  // Fills the budget, and returns what may be saved up: a longer request than that goes when the budget is
+  // full, and leaves a debt.
+  double FillColdBudget(Member& m) {
+    const double rate = ColdRate(m);
     const double hold = std::max(0.1, Seconds(s_.fall_time) / 2);
     // Held writes come at once when a primary is found, reads as they come: what they did not use adds up.
     const double passed = std::min(Seconds(now_ - m.cold_at), IsPrimary(m) ? hold : Seconds(s_.cold_time));
     m.cold_at = now_;
-    if (rate * hold >= ShortestWork()) {
-      m.cold_tokens = std::min(rate * hold, m.cold_tokens + rate * passed);
-      return rate * hold;
-    }
-    if (m.cold_tokens > 0 && !Chance(std::exp(-passed / hold))) m.cold_tokens = 0;
-    if (Chance(rate * passed / ShortestWork())) {
-      m.cold_tokens = std::min(m.cold_tokens + ShortestWork(), ShortestWork());
-    }
+    m.cold_tokens = std::min(rate * hold, m.cold_tokens + rate * passed);
     return rate * hold;
   }
 
-  // The shortest class's work: what a small cold budget is given out in.
+  // Where the part is below one request it is kept by chance: the most of all draws in a group that may fall
+  // on the member is what the part is of the work drawn for. A store of whole requests, given out by chance, was
+  // empty or stale when one came: most writes to a cold primary were refused though all of them fitted.
+  bool ColdByChance(const Member& m) const {
+    return Cold(m) && ColdRate(m) * std::max(0.1, Seconds(s_.fall_time) / 2) < ShortestWork();
+  }
+
+  // Each draw counts as work that is wanted, a repeated or a held request's too.
+  double Wanted(const Request& r) {
+    Group& g = groups_[r.ask.group];
+    const bool primary = NeedsPrimary(r);
+    const Duration now = now_.time_since_epoch();
+    demand_[primary].Add(now, Cost(r));
+    g.demand[primary].Add(now, Cost(r));
+    const double prior = demand_[primary].PerSecond(now) / static_cast<double>(groups_.size());
+    return g.demand[primary].PerSecond(now, prior);
+  }
+
+  // Whether a request that has nowhere else to go may go to this member.
+  Member* IfPartAllows(const Request& r, Member* m) {
+    if (m == nullptr) return nullptr;
+    const double wanted = Wanted(r);
+    return !ColdByChance(*m) || Chance(fleet::Odds(ColdRate(*m), wanted)) ? m : nullptr;
+  }
+
+  // The shortest class's work: a cold budget below that is kept by chance.
   double ShortestWork() const { return *std::min_element(class_latency_.begin(), class_latency_.end()); }
 
   bool Chance(double odds) { return std::uniform_real_distribution<double>(0, 1)(random_) < odds; }
@@ -372,7 +401,7 @@
   bool MustProve(const Request& r) const { return s_.lag_check == LagCheck::kNone || r.ask.proven_only; }
 
   bool HasRoom(const Request& r, Member& m) {
-    if (!Cold(m)) return true;
+    if (!Cold(m) || ColdByChance(m)) return true;  // by chance: as it is drawn
     const double most = FillColdBudget(m);
     return m.cold_tokens >= std::min(Cost(r), most);
   }
@@ -442,7 +471,8 @@
     const Member* host = HostOf(groups_[r.ask.group]);
     const bool together = LongAny(r) && host != nullptr &&
                           class_latency_[r.ask.cls] * Slowness(*host) <= kSpareAim * Seconds(Class(r).aim);
-    std::vector<double> odds;
+    std::vector<fleet::Lot> lots;
+    const double wanted = Wanted(r);
     for (const Member* m : from) {
       double o =
           m->weight * (1 - m->fail) / (Slowness(*m) * (1 + static_cast<double>(m->out.size()) + m->queued));
@@ -453,9 +483,10 @@
       const bool behind = target && Known(*m, target) && Expected(*m) + s_.patience / 2 < *target;
       if (behind || Tried(r, m->id)) o *= kFarBehind;
       if (together && m == host) o *= kTogether;
-      odds.push_back(o);
+      lots.push_back({o, ColdByChance(*m) ? fleet::Odds(ColdRate(*m), wanted) : 1});
     }
-    return from[std::discrete_distribution<std::size_t>(odds.begin(), odds.end())(random_)];
+    const auto drawn = fleet::Draw(lots, std::uniform_real_distribution<double>(0, 1)(random_));
+    return drawn ? from[*drawn] : nullptr;
   }
 
   // ---- Waiting reads and held writes ----------------------------------------------------------------
@@ -505,12 +536,12 @@
     Member* m = nullptr;
     std::vector<Member*> from;
     if (NeedsPrimary(r)) {
-      m = PrimaryFor(r);
+      m = IfPartAllows(r, PrimaryFor(r));
     } else if (r.missed.empty() || AnyInReach(r)) {
       from = Candidates(r);
       m = Draw(r, from);
     } else {
-      m = SpareOf(r);
+      m = IfPartAllows(r, SpareOf(r));
       spill = m != nullptr;
     }
     if (m == nullptr) {
@@ -522,8 +553,8 @@
       const auto quickest = std::min_element(from.begin(), from.end(), [&](const Member* a, const Member* b) {
         return Expects(r, *a) < Expects(r, *b);
       });
-      if (quickest == from.end() || Expects(r, **quickest) > kQuicker * Expects(r, *m)) return Finish(r);
-      if (Hopeless(r, **quickest)) return Finish(r);
+      if (quickest == from.end() || ColdByChance(**quickest)) return Finish(r);
+      if (Expects(r, **quickest) > kQuicker * Expects(r, *m) || Hopeless(r, **quickest)) return Finish(r);
       m = *quickest;
     }
     SendTo(r, *m, spill);
@@ -578,8 +609,8 @@
   }
 
   // Nobody is shown as primary, or it missed: the write itself asks whose role was not heard lately, those
-  // never heard first. A miss costs a member nothing, a probe has its price; and of a hundred proxies each
-  // hears of a role too seldom to wait for it. Two attempts are kept for the one that is found.
+  // never heard first. A miss costs a member nothing, a probe has its price, and one proxy of many hears
+  // of a role too seldom to wait for it.
   Member* Unasked(const Request& r, const Member* shown) {
     if (r.attempts.size() + kKeptForFound >= s_.max_attempts) return nullptr;
     std::vector<Member*> unheard, others;
@@ -638,7 +669,7 @@
   // ---- Attempts and outcomes ------------------------------------------------------------------------
   void SendTo(Request& r, Member& m, bool spill) {
     if (!MaySend(r, m)) return Wait(r, kPause);
-    if (Cold(m)) m.cold_tokens -= Cost(r);
+    if (Cold(m) && !ColdByChance(m)) m.cold_tokens -= Cost(r);
     const auto target = Target(r);
     m.out[{r.ask.id, static_cast<AttemptNumber>(r.attempts.size())}] = {
         now_, r.ask.cls, spill, target, !Known(m, target), m.out.size()};
@@ -755,10 +786,9 @@
     }
   }
 
-  // Refused at once: it runs short of connections, or its process has ended; a probe may tell, but not all
-  // that miss it can pay for one. Either way it rests the longer, the more often in a row, and connections
-  // to it alone are given back after use for a while: what is short is kept idle by all proxies. To give
-  // back those to all members made every proxy open them anew for as long as one dead member was listed.
+  // Refused at once: it runs short of connections, or its process has ended; not all can pay a probe to tell.
+  // It rests the longer, the more often in a row; connections to it alone are given back after use for a
+  // while: what is short is kept idle by all proxies.
   void ConnectionRefused(Member& m) {
     PaidProbe(m);
     const int doublings = std::min(m.failures - 1, kMostRefusedDoublings);
@@ -945,8 +975,8 @@
       if (NeedsPrimary(r) && groups_[r.ask.group].searching) sought.insert(r.ask.group);
     }
     for (GroupId id : sought) {
-      Group& g = groups_[id];
-      if (g.members.empty() || !PaidProbe(members_.at(g.members[random_() % g.members.size()]))) continue;
+      const std::vector<MemberId>& of = groups_[id].members;
+      if (!of.empty()) PaidProbe(members_.at(of[random_() % of.size()]));
     }
   }
 
@@ -991,6 +1021,7 @@
   double probe_tokens_ = kRetryBurst;
   double carried_ = 0;
   double carry_ = 0;
+  fleet::Demand demand_[2];  // over all groups
   int watch_failures_ = 0;
 };
 
--- a/src/fleet/backoff.cpp
+++ b/src/fleet/backoff.cpp
@@ -5,8 +5,8 @@
 namespace lynxgrade::fleet {
 namespace {
 
-// Eight windows at most: a lone instance finds what has come back within about a second, a hundred spread over
-// some 17 s, in which discovery's word is still fresher than the time by which it counts as told.
+// Eight windows at most: a lone instance finds what has come back within about a second, a hundred spread
+// over some 17 s, in which discovery's word is still fresher than the time by which it counts as told.
 constexpr int kMostDoublings = 3;
 
 Duration Part(Duration window, double chance) {
--- a/src/fleet/backoff.h
+++ b/src/fleet/backoff.h
@@ -1,6 +1,6 @@
-// How long an instance waits before it tries again at something that all instances of its fleet want at once: a
-// call to discovery, a service that has just come back. Owns the count of failures; has no clock and no chance
-// of its own.
+// How long an instance waits before it tries again at something that all instances of its fleet want at once:
+// a call to discovery, a service that has just come back. Owns the count of failures; has no clock and no
+// chance of its own.
 #pragma once
 
 #include <chrono>
@@ -10,10 +10,10 @@
 
 using Duration = std::chrono::duration<std::int64_t, std::micro>;
 
-// Exponential back-off with full jitter: each wait is drawn evenly from a window that doubles with each failure.
-// The window grows with the number of instances, so that the calls of all of them together, over every wait, stay
-// under the same rate: N instances that begin at the same moment make about 2 N / window calls a second, which is
-// 1 / spacing in the first round and an eighth of that from the fourth on.
+// Exponential back-off with full jitter: each wait is drawn evenly from a window that doubles with each
+// failure. The window grows with the number of instances, so that the calls of all of them together, over
+// every wait, stay under the same rate: N instances that begin at the same moment make about 2 N / window
+// calls a second, which is 1 / spacing in the first round and an eighth of that from the fourth on.
 class Backoff {
  public:
   // `instances`: how many try, at least 1; each widens the first window by `spacing`, beside a `least` window
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,4 +1,5 @@
-// What must hold over a whole fleet, in virtual time: many instances of the real decision code, sharing nothing.
+// What must hold over a whole fleet, in virtual time: many instances of the real decision code, sharing
+// nothing.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
@@ -8,7 +9,9 @@
 #include <set>
 #include <vector>
 
+#include "balance.h"
 #include "fleet/backoff.h"
+#include "fleet/draw.h"
 
 namespace lynxgrade {
 namespace {
@@ -18,8 +21,8 @@
 
 constexpr Micros kLeast{150000}, kSpacing{20000};
 
-// Discovery that one event has cut all instances off from at second 0 and that answers nobody for `away` seconds,
-// then `capacity` calls a second; the rest of each second's are turned away. Times in microseconds.
+// Discovery that one event has cut all instances off from at second 0 and that answers nobody for `away`
+// seconds, then `capacity` calls a second; the rest of each second's are turned away. Times in microseconds.
 struct Outage {
   int most_in_a_second = 0;  // calls, from the second second on
   int first_second = 0;
@@ -80,7 +83,8 @@
   std::mt19937_64 random(1);
   std::uniform_real_distribution<double> even(0, 1);
   std::set<std::int64_t> tenths;
-  for (int i = 0; i < 200; ++i) tenths.insert(Backoff(100, kLeast, kSpacing).Spread(even(random)).count() / 213000);
+  for (int i = 0; i < 200; ++i)
+    tenths.insert(Backoff(100, kLeast, kSpacing).Spread(even(random)).count() / 213000);
   CHECK(tenths.size() == 10);
   Backoff one(1, kLeast, kSpacing);
   for (int i = 0; i < 9; ++i) one.Next(0.5);
@@ -90,5 +94,196 @@
   CHECK(Backoff(0, kLeast, kSpacing).Next(0.5) == Micros(75000));
 }
 
+constexpr double kCores = 5, kWork = 0.08;  // of a member; seconds a request
+constexpr Duration kReplaced{8000000}, kEnd{17000000};
+
+Settings Site(std::uint32_t instances) {
+  Settings s;
+  RequestClass read, write;
+  read.kind = ReadKind::kAny;
+  read.aim = Duration(400000);
+  read.deadline = Duration(1600000);
+  write = read;
+  write.kind = ReadKind::kWrite;
+  write.effect = Effect::kKeyed;
+  write.repeat_window = Duration(3000000);
+  write.aim = Duration(700000);
+  s.classes = {read, write};
+  s.peers_total = instances;
+  s.max_attempts = 8;
+  s.may_cancel = s.clients_wait_as_told = true;
+  s.longest_client_wait = Duration(500000);
+  s.start_capacity = 0.15;
+  s.cold_time = Duration(18000000);
+  s.overload_factor = 3;
+  s.fall_time = Duration(3000000);
+  return s;
+}
+
+// Two groups of six. In the eighth second all members of the first are replaced by new ones, and seven in ten
+// instances start anew. Members answer all they get; what counts is what they are sent.
+class Fleet {
+ public:
+  Fleet(std::uint32_t instances, bool uneven, std::uint64_t seed)
+      : settings_(Site(instances)), random_(seed) {
+    for (std::uint32_t i = 0; i < instances; ++i) {
+      weights_.push_back(uneven ? 1.0 / (1 + i % 5) : 1);
+      Begin(i, Entries(false), seed * 1000 + i);
+    }
+    std::discrete_distribution<std::uint32_t> which(weights_.begin(), weights_.end());
+    std::exponential_distribution<double> gap(0.6 * 12 * kCores / kWork);
+    std::uint32_t id = 0;
+    bool replaced = false;
+    for (double t = 0; t < 1e-6 * static_cast<double>(kEnd.count()); t += gap(random_)) {
+      const Time now{Duration(1000000000 + static_cast<std::int64_t>(t * 1e6))};
+      while (!due_.empty() && due_.begin()->first <= now) {
+        const auto [when, what] = *due_.begin();
+        due_.erase(due_.begin());
+        if (what.life == lives_[what.who]) Feed(what.who, when, what.event);
+      }
+      if (!replaced && now - start_ >= kReplaced) {
+        replaced = true;
+        for (std::uint32_t i = 0; i < instances; ++i) {
+          if (i % 10 < 7) {
+            Begin(i, Entries(true), seed * 1000 + 500 + i);
+          } else {
+            Feed(i, now, ListEvent{ListKind::kComplete, Entries(true)});
+          }
+        }
+      }
+      RequestEvent ask;
+      ask.id = RequestId(++id);
+      ask.group = GroupId(1 + id % 2);
+      ask.cls = id % 8 == 0 ? 1 : 0;
+      ask.time_left = settings_.classes[ask.cls].deadline;
+      Feed(which(random_), now, ask);
+    }
+  }
+
+  // The most work sent to a new member within any three seconds, as a part of what makes it fall over if it
+  // warms up as slowly as the settings allow.
+  double WorstPart() const {
+    double worst = 0;
+    for (const auto& [member, at] : sent_) {
+      if (member < 100) continue;
+      std::size_t from = 0;
+      for (std::size_t i = 0; i < at.size(); ++i) {
+        while (at[i] - at[from] > settings_.fall_time) ++from;
+        const double age = 1e-6 * static_cast<double>((at[i] - start_ - kReplaced).count()) - 3;
+        const double share = 0.15 + 0.85 * std::max(0.0, age) / 18;
+        const double most = 3 * share * kCores * 3;
+        worst = std::max(worst, kWork * static_cast<double>(i - from + 1) / most);
+      }
+    }
+    return worst;
+  }
+
+  // The least work that a new member got in its first seconds, as a part of what it could do in them at
+  // least.
+  double LeastUsed() const {
+    double least = 9;
+    for (std::uint32_t member = 101; member <= 106; ++member) {
+      const auto it = sent_.find(member);
+      const auto count =
+          it == sent_.end() ? 0 : std::count_if(it->second.begin(), it->second.end(), [&](Time t) {
+            return t - start_ - kReplaced < Duration(6000000);
+          });
+      least = std::min(least, kWork * static_cast<double>(count) / (6 * kCores * (0.15 + 0.85 / 6)));
+    }
+    return least;
+  }
+
+ private:
+  struct Due {
+    std::uint32_t who;
+    int life;
+    Event event;
+  };
+
+  std::vector<ListEntry> Entries(bool replaced) const {
+    std::vector<ListEntry> entries;
+    for (std::uint32_t i = 1; i <= 12; ++i) {
+      const bool fresh = replaced && i <= 6;
+      ListEntry entry{.member = MemberId(fresh ? 100 + i : i), .group = GroupId(i <= 6 ? 1 : 2)};
+      if (fresh) entry.started = start_ + kReplaced;
+      entries.push_back(entry);
+    }
+    return entries;
+  }
+
+  void Begin(std::uint32_t who, const std::vector<ListEntry>& entries, std::uint64_t seed) {
+    balancers_.insert_or_assign(who, Balancer(settings_, seed));
+    ++lives_[who];
+    Feed(who, now_, ListEvent{ListKind::kPersisted, entries});
+  }
+
+  void Feed(std::uint32_t who, Time now, const Event& event) {
+    now_ = std::max(now_, now);
+    Actions actions;
+    balancers_.at(who).Handle(now_, event, actions);
+    for (const Action& action : actions) {
+      if (const auto* timer = std::get_if<SetTimer>(&action)) {
+        due_.emplace(now_ + timer->delay, Due{who, lives_[who], TimerEvent{timer->id}});
+      }
+      const auto* send = std::get_if<Send>(&action);
+      if (send == nullptr) continue;
+      const auto member = static_cast<std::uint32_t>(send->member);
+      const bool primary = member == 101 || member == 1 || member == 7;
+      const bool write = static_cast<std::uint32_t>(send->id) % 8 == 0;
+      OutcomeEvent end;
+      end.id = send->id;
+      end.attempt = attempts_[send->id]++;
+      end.member = send->member;
+      end.note.primary = primary;
+      end.outcome = write && !primary ? Outcome::kMiss : Outcome::kOk;
+      end.request_done = end.outcome == Outcome::kOk;
+      end.taken = end.request_done ? Duration(80000) : Duration(1000);
+      if (end.request_done) sent_[member].push_back(now_);
+      due_.emplace(now_ + end.taken, Due{who, lives_[who], end});
+    }
+  }
+
+  Settings settings_;
+  std::mt19937_64 random_;
+  const Time start_{Duration(1000000000)};
+  Time now_ = start_;
+  std::vector<double> weights_;
+  std::map<std::uint32_t, Balancer> balancers_;
+  std::map<std::uint32_t, int> lives_;
+  std::multimap<Time, Due> due_;
+  std::map<RequestId, AttemptNumber> attempts_;
+  std::map<std::uint32_t, std::vector<Time>> sent_;
+};
+
+TEST_CASE("what all instances send a cold member stays under what makes it fall, and puts it to use") {
+  for (const std::uint32_t instances : {1u, 3u, 30u, 100u, 200u}) {
+    for (const bool uneven : {false, true}) {
+      CAPTURE(instances);
+      CAPTURE(uneven);
+      const Fleet fleet(instances, uneven, 11 + instances);
+      CHECK(fleet.WorstPart() < 1);
+      CHECK(fleet.LeastUsed() > 0.4);
+    }
+  }
+}
+
+TEST_CASE("a draw keeps to its caps and gives what they cut off to the others, or to nobody") {
+  const auto parts = [](std::vector<fleet::Lot> lots) {
+    std::vector<double> part(lots.size() + 1);
+    for (int i = 0; i < 1000; ++i) part[fleet::Draw(lots, (i + 0.5) / 1000).value_or(lots.size())] += 0.001;
+    return part;
+  };
+  const auto is = [&](std::vector<fleet::Lot> lots, const std::vector<double>& wanted) {
+    const auto got = parts(std::move(lots));
+    for (std::size_t i = 0; i < wanted.size(); ++i) CHECK(got[i] == doctest::Approx(wanted[i]).epsilon(0.01));
+  };
+  is({{1}, {3}}, {0.25, 0.75, 0});
+  is({{1}, {3, 0.25}}, {0.75, 0.25, 0});
+  is({{1, 0.3}, {8, 0.5}, {1}}, {0.25, 0.5, 0.25, 0});
+  is({{4, 0.4}, {5, 0.1}, {1, 0.2}}, {0.4, 0.1, 0.2, 0.3});
+  is({{1, 0}}, {0, 1});
+  CHECK_FALSE(fleet::Draw({}, 0.5));
+}
+
 }  // namespace
 }  // namespace lynxgrade
