--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -9,7 +9,7 @@
 constexpr Duration kHeadWithin{3000000};
 constexpr Duration kLineWithin{5000000};  // an empty line is due every 2 s
 // Waits between calls: one instance's first is up to this; each further instance widens it, so that all
-// together make about fifty calls a second in the first round and six from the fourth on.
+// together make about fifty calls a second in the first round and twelve from the fourth on.
 constexpr Duration kFirstPause{150000};
 constexpr Duration kSpacing{20000};
 constexpr std::size_t kMostLine = 4 << 20;
--- a/src/fleet/backoff.h
+++ b/src/fleet/backoff.h
@@ -12,8 +12,8 @@
 
 // Exponential back-off with full jitter: each wait is drawn evenly from a window that doubles with each
 // failure. The window grows with the number of instances, so that the calls of all of them together, over
-// every wait, stay under the same rate: N instances that begin at the same moment make about 2 N / window
-// calls a second, which is 1 / spacing in the first round and an eighth of that from the fourth on.
+// every wait, stay under the same rate: N instances that begin at the same moment make N / window =
+// 1 / spacing calls a second in the first round, and 2 N / (8 window), a quarter of that, from the fourth on.
 class Backoff {
  public:
   // `instances`: how many try, at least 1; each widens the first window by `spacing`, beside a `least` window
