Call an agent for the list at once after a start, so that drains are kept

In the logs of a pooler killed and started again (n0): 8.562 discovery: version 1: s- drains 12.083 ready 15.884 discovery: version 6: s- drains It serves from the list of its configuration for 3.8 s, others for up to 6 s; a probe that logged each call showed 551 calls for 327 starts and 224 restarts, all answered, spread evenly over 6.1 s after either event.

At fault: Watch::Start spread the first call over a window for `peers_total` callers, whoever answers them. Now an agent is called at once, also when SIGHUP moves it, and again after waits that a lone caller takes. Where the list is asked of one service for all, the first call is spread over half of the drain grace at most; the other half is for its answer.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -18,23 +18,29 @@
 }  // namespace
 
 Watch::Watch(net::Loop& loop, net::Address address, RosterReader& reader, std::int64_t since,
-             std::uint64_t seed, std::uint32_t instances, Changed changed)
+             std::uint64_t seed, Callers callers, Changed changed)
     : loop_(loop),
       address_(std::move(address)),
       reader_(reader),
       since_(since),
+      callers_(callers),
       random_(static_cast<std::minstd_rand::result_type>(seed)),
       changed_(std::move(changed)),
       deadline_(loop),
       again_(loop),
-      backoff_(instances, kFirstPause, kSpacing) {}
+      backoff_(callers.shared ? callers.instances : 1, kFirstPause, kSpacing) {}
 
 Watch::~Watch() {
   if (connection_ != nullptr) connection_->Close();
 }
 
-void Watch::Start() {
-  again_.After(backoff_.Spread(Chance()), [this] { Call(); });
+void Watch::Start() { CallFirst(); }
+
+// Spreading calls that cost nobody anything made 300 instances wait up to 6 s after a start, and send to members
+// that their agents had long known to drain.
+void Watch::CallFirst() {
+  const Duration wait = callers_.shared ? backoff_.Spread(Chance(), callers_.first_within) : Duration{0};
+  again_.After(wait, [this] { Call(); });
 }
 
 void Watch::Call() {
@@ -52,7 +58,7 @@
   if (connection_ != nullptr) connection_->Close();
   backoff_.Succeeded();  // the failures were the old address's
   deadline_.Clear();
-  Call();
+  CallFirst();
 }
 
 void Watch::ExpectWithin(Duration time, const char* what) {
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -19,17 +19,27 @@
  public:
   using Changed = std::function<void(const RosterChange&)>;
 
-  // `instances`: how many watch the same discovery, at least 1: the waits between calls grow with them.
+  // Who answers the calls: an agent of this instance's own, at once and at no cost, or one service that all
+  // `instances` call, which a call of all of them at one moment would overload.
+  struct Callers {
+    bool shared = false;
+    std::uint32_t instances = 1;
+    Duration first_within{};  // shared: how long the first call to an address may wait
+  };
+
   Watch(net::Loop& loop, net::Address address, RosterReader& reader, std::int64_t since, std::uint64_t seed,
-        std::uint32_t instances, Changed changed);
+        Callers callers, Changed changed);
   ~Watch();
 
-  // Calls after a wait that is spread over the instances: all may have started together.
+  // Calls an agent at once: what it has counts as told, and its word on who drains binds from then on. A shared
+  // service is called after a wait that is spread over the instances: all may have started together.
   void Start();
   // Watches there from now on, from the version that was reached. An agent there that does not know that
   // version sends its whole list, which stands in place of all before, whatever its number.
   void MoveTo(const net::Address& address);
   bool heard() const { return heard_; }
+  // When the next call is due, where one is waited for.
+  std::optional<Time> calls_at() const { return again_.due(); }
 
  private:
   void OnUp() override;
@@ -41,6 +51,7 @@
   void TakeLine(const std::string& line);
   void Call();
   void Again(const char* why);
+  void CallFirst();
   double Chance();
   void ExpectWithin(Duration time, const char* what);
 
@@ -48,6 +59,7 @@
   net::Address address_;
   RosterReader& reader_;
   std::int64_t since_;
+  Callers callers_;
   std::minstd_rand random_;
   Changed changed_;
   std::shared_ptr<net::Connection> connection_;
--- a/src/fleet/backoff.cpp
+++ b/src/fleet/backoff.cpp
@@ -22,6 +22,8 @@
   return Part(window_ * (1 << std::min(failures_++, kMostDoublings)), chance);
 }
 
-Duration Backoff::Spread(double chance) const { return Part(window_, chance); }
+Duration Backoff::Spread(double chance, Duration most) const {
+  return Part(std::min(window_, most), chance);
+}
 
 }  // namespace lynxgrade::fleet
--- a/src/fleet/backoff.h
+++ b/src/fleet/backoff.h
@@ -22,8 +22,9 @@
 
   // The wait after one more failure; `chance` is even in [0, 1).
   Duration Next(double chance);
-  // The wait before a first try that all instances make at the same event; counts as no failure.
-  Duration Spread(double chance) const;
+  // The wait before a first try that all instances make at the same event, `most` at most; counts as no
+  // failure.
+  Duration Spread(double chance, Duration most) const;
   void Succeeded() { failures_ = 0; }
   int failures() const { return failures_; }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "balance.h"
@@ -76,6 +77,7 @@
     armed_ = false;
   }
   bool armed() const { return armed_; }
+  std::optional<Time> due() const { return armed_ ? std::optional(key_.first) : std::nullopt; }
 
  private:
   Loop* loop_;
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -61,7 +61,10 @@
   const std::string no_sessions = StartSessions();
   if (!no_sessions.empty()) return no_sessions;
   proxy_.ListChanged(std::move(first));
-  watch_.emplace(loop_, config_.discovery, reader_, since, config_.seed, config_.settings.peers_total,
+  const Settings& settings = config_.settings;
+  const discovery::Watch::Callers callers{settings.list_on_request, settings.peers_total,
+                                          settings.drain_grace / 2};  // the rest is for the answer, or a retry
+  watch_.emplace(loop_, config_.discovery, reader_, since, config_.seed, callers,
                  [this](const discovery::RosterChange& change) { Changed(change); });
   const std::string fault = front_.Listen(config_.listen);
   if (!fault.empty()) return "cannot listen on " + config_.listen.host + ": " + fault;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -84,7 +84,7 @@
   std::uniform_real_distribution<double> even(0, 1);
   std::set<std::int64_t> tenths;
   for (int i = 0; i < 200; ++i)
-    tenths.insert(Backoff(100, kLeast, kSpacing).Spread(even(random)).count() / 213000);
+    tenths.insert(Backoff(100, kLeast, kSpacing).Spread(even(random), Micros(5000000)).count() / 213000);
   CHECK(tenths.size() == 10);
   Backoff one(1, kLeast, kSpacing);
   for (int i = 0; i < 9; ++i) one.Next(0.5);
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -631,7 +632,7 @@
   REQUIRE(agent.Open({"127.0.0.1", 0}).empty());
   discovery::RosterReader reader({"a"});
   std::vector<std::int64_t> versions;
-  discovery::Watch watch(loop, {"127.0.0.1", agent.port()}, reader, 41, 1, 1,
+  discovery::Watch watch(loop, {"127.0.0.1", agent.port()}, reader, 41, 1, {},
                          [&](const discovery::RosterChange& change) { versions.push_back(change.revision); });
   watch.Start();
   const auto until = [&](const std::function<bool()>& holds) {
@@ -648,6 +649,31 @@
   CHECK(peers[1]->Saw("since=43 "));
 }
 
+// 300 instances start together, or are told of a new address at once. An agent of their own is called at once:
+// what it has counts as told. Calls to one service for all are spread, but no later than the first may be.
+TEST_CASE("an agent is called at once, a shared service within the time that is left to obey a drain") {
+  net::Loop loop;
+  net::Listener agent(
+      loop, [] { return true; }, [](net::ObjectPtr<GSocket>) {});
+  REQUIRE(agent.Open({"127.0.0.1", 0}).empty());
+  discovery::RosterReader reader({"a"});
+  for (const bool shared : {false, true}) {
+    CAPTURE(shared);
+    std::set<std::int64_t> tenths;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+      discovery::Watch watch(loop, {"127.0.0.1", agent.port()}, reader, 41, seed * 7919,
+                             {shared, 300, Duration(1000000)}, [](const discovery::RosterChange&) {});
+      watch.Start();
+      tenths.insert((*watch.calls_at() - loop.Now()).count() / 100000);
+      watch.MoveTo({"127.0.0.2", agent.port()});
+      tenths.insert((*watch.calls_at() - loop.Now()).count() / 100000);
+    }
+    CHECK(tenths.size() == (shared ? 10 : 1));
+    CHECK(*tenths.begin() == 0);
+    CHECK(*tenths.rbegin() == (shared ? 9 : 0));
+  }
+}
+
 // Discovery's agent: keeps what each watch asks and answers with `line`.
 struct Agent {
   explicit Agent(net::Loop& loop)
