Let news of a member fade in seconds, and its group's news stand in for it

Group g0 answers 300 to 370 requests a second until a burst comes; then, second by second: 7 s: 472 tries, 356 answered, 30 called off as clients left, reads at 156 ms 8 s: 692 tries, 297 answered, 114 called off, 81 turned away as full, 280 ms 9 s: 1,372 tries, 125 answered, 334 called off, 301 as full, 473 ms 10 s: 1,406 tries, 139 answered, 319 called off, 263 as full, 355 ms A congestion collapse: a third of its throughput is left while poolers go on sending, and what they send comes too late and is asked again. Each pooler asks a group about once a second and a member every three to six; in the module a member's latency took an answer for 0.08 to 0.25 of itself, the gain being the silence over 15 s, so a pooler needed ten seconds to learn of a queue that builds up in one. At fault: kFadesWithin, kMostGain and Judge in src/balance.cpp.

Change: src/fleet/latency. An answer's weight is what has faded since the last one, by a time constant of 1.5 s, from 0.08 (members heard often, as before) to 0.6; as a member's own news grows old, what its group showed lately counts instead. An attempt called off is at most a quarter: its connection may be lost.

Also: a peers_total of 0 or absent is taken for 300 (src/fleet/size.h) and logged; it was read as 1.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -3,6 +3,8 @@
 
 #include "fleet/demand.h"
 #include "fleet/draw.h"
+#include "fleet/latency.h"
+#include "fleet/size.h"
 #include "fleet/warm_up.h"
 
 #include <algorithm>
@@ -16,9 +18,6 @@
 
 // ---- Named constants --------------------------------------------------------------------------------
 constexpr Duration kPause{50000};       // between tries of a waiting request: the design's pause
-constexpr double kLatencyGain = 0.08;   // EWMA gain of a member's latency: about its last twenty answers
-constexpr double kFadesWithin = 15;     // seconds; the gain is the part of it since the last answer,
-constexpr double kMostGain = 0.25;      // up to this: a member that is seldom heard of is not what it was
 constexpr double kClassGain = 0.02;     // EWMA gain of a class's latency over all members: slow, a yardstick,
 constexpr double kClassRise = 0.2;      // and this part of it upwards: queueing must not pass for work
 constexpr double kFailGain = 0.15;      // EWMA gain of a member's failures
@@ -94,14 +93,12 @@
   Time pace_at{};
   std::optional<Time> primary_at;  // newest proof or claim of being primary
   std::optional<Time> replica_at;  // and of not being it
-  double slowness = 1;             // EWMA of latency against the class's
-  double share_each = 0;           // EWMA of the same over own requests in flight: what each adds
+  fleet::Latency latency;
   double fail = 0;
   int failures = 0;   // in a row
   int lost = 0;       // of them the newest, in a row, that brought no answer at all
   bool down = false;  // one of them while an attempt was out, or a probe found nothing there
   int rests = 0;
-  Time judged{};    // when its latency was last heard
   Time answered{};  // when the newest attempt that it answered was sent
   Time resting_until{};
   Time short_until{};  // of connections
@@ -120,6 +117,7 @@
   std::uint64_t role_changes = 0;
   bool searching = false;
   fleet::Demand demand[2];  // for its replicas, and for its primary
+  fleet::Crowd crowd[2];    // likewise
 };
 
 struct Attempt {
@@ -213,7 +211,7 @@
   void StartedAt(Member& m, Time when) {
     m.started = when;
     m.resting_until = now_;
-    m.slowness = 1;
+    m.latency = {};
     m.fail = 0;
     m.failures = m.lost = m.rests = 0;
     m.cold.Begin(now_.time_since_epoch(), warm_up_);
@@ -241,7 +239,7 @@
     double quota = 0;
     for (const Tenant& tenant : s_.tenants) quota += tenant.quota_per_s;
     const double members = static_cast<double>(std::max<std::size_t>(1, members_.size()));
-    return std::max(1.0, kNominalPart * quota * ShortestWork() / members) / std::max(1u, s_.peers_total);
+    return std::max(1.0, kNominalPart * quota * ShortestWork() / members) / fleet::Size(s_.peers_total);
   }
 
   // This proxy's part of what a cold member may be sent, in work a second.
@@ -435,7 +433,8 @@
       ages += Seconds(now_ - sent.sent) / class_latency_[sent.cls];
       ++count;
     }
-    return std::max({0.05, m.slowness, count > 0 ? ages / count : 0});
+    const double heard = m.latency.Slowness(now_.time_since_epoch(), groups_.at(m.group).crowd[IsPrimary(m)]);
+    return std::max({0.05, heard, count > 0 ? ages / count : 0});
   }
 
   // Long any-reads may halt the apply of the replica that holds them. Spread evenly they would hold back
@@ -652,7 +651,7 @@
 
   // How long the request would take there. What is in flight now tells of a queue before its latencies do.
   double Expects(const Request& r, const Member& m) const {
-    const double queue = m.share_each * static_cast<double>(m.out.size() + 1);
+    const double queue = m.latency.each() * static_cast<double>(m.out.size() + 1);
     return class_latency_[r.ask.cls] * std::max(Slowness(m), queue);
   }
 
@@ -731,12 +730,12 @@
   // What an outcome says of the member.
   void Judge(Member& m, const Outstanding& was, Outcome outcome, Duration time) {
     double& usual = class_latency_[was.cls];
-    const double gain = std::clamp(Seconds(now_ - m.judged) / kFadesWithin, kLatencyGain, kMostGain);
-    if (outcome == Outcome::kOk || outcome == Outcome::kCancelled) m.judged = now_;
+    fleet::Crowd& crowd = groups_[m.group].crowd[IsPrimary(m)];
+    const Duration now = now_.time_since_epoch();
     if (outcome == Outcome::kOk) {
       const double taken = std::max(1e-4, Seconds(time));
-      m.slowness += gain * (taken / usual - m.slowness);
-      m.share_each += gain * (taken / usual / static_cast<double>(was.beside + 1) - m.share_each);
+      m.latency.Answered(now, taken / usual, was.beside);
+      crowd.Add(now, taken / usual);
       usual += kClassGain * (taken > usual ? kClassRise : 1) * (taken - usual);
       m.fail -= kFailGain * m.fail;
       m.failures = m.lost = 0;
@@ -750,7 +749,9 @@
     // of queues and the last told of none, its answer was lost.
     const bool queue = s_.reports != Reports::kAnswers || m.queued >= 1;
     if (outcome == Outcome::kCancelled && was.sent > m.answered && queue) {
-      m.slowness += gain * std::max(0.0, std::min(kLate, Seconds(time) / usual) - m.slowness);
+      const double late = std::min(kLate, Seconds(time) / usual);
+      m.latency.Overdue(now, late);
+      if (late > crowd.Mean(now, 1)) crowd.Add(now, late);
     }
     if (outcome == Outcome::kMiss || outcome == Outcome::kCancelled || outcome == Outcome::kVoid) return;
     ++m.failures;
--- a/src/balance.h
+++ b/src/balance.h
@@ -65,7 +65,7 @@
   std::vector<RequestClass> classes;
   std::vector<Tenant> tenants;
   std::uint32_t self = 0;
-  std::uint32_t peers_total = 1;
+  std::uint32_t peers_total = 1;  // 0: not told
   ZoneIndex zone = 0;
   Duration tick{5000};
   bool list_on_request = false;
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -10,6 +10,8 @@
 #include <fstream>
 #include <iterator>
 
+#include "fleet/size.h"
+
 namespace lynxgrade {
 namespace {
 
@@ -62,8 +64,12 @@
   if (!no_sessions.empty()) return no_sessions;
   proxy_.ListChanged(std::move(first));
   const Settings& settings = config_.settings;
-  const discovery::Watch::Callers callers{settings.list_on_request, settings.peers_total,
+  const discovery::Watch::Callers callers{settings.list_on_request, fleet::Size(settings.peers_total),
                                           settings.drain_grace / 2};  // the rest is for the answer, or a retry
+  if (settings.peers_total == 0) {
+    spdlog::warn("the settings do not say how many poolers there are (peers_total): taken for {}",
+                 fleet::Size(0));
+  }
   watch_.emplace(loop_, config_.discovery, reader_, since, config_.seed, callers,
                  [this](const discovery::RosterChange& change) { Changed(change); });
   const std::string fault = front_.Listen(config_.listen);
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -194,7 +194,7 @@
     }
   }
   s.self = SmallOr(facts, "me", 0);
-  s.peers_total = SmallOr(facts, "peers_total", 1);
+  s.peers_total = SmallOr(facts, "peers_total", 0);
   s.zone = SmallOr(facts, "zone", 0);
   s.tick = DurationOr(facts, "tick_us", s.tick);
   s.list_on_request = Word(TextOr(facts, "discovery", "push"), kDiscovery, "discovery");
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -70,7 +70,7 @@
     now = until;
   }
 
-  void Ask(int count) {
+  void Ask(int count, Duration every = Duration(20000)) {
     sent.clear();
     refused = 0;
     for (int i = 0; i < count; ++i) {
@@ -79,7 +79,7 @@
       ask.group = GroupId(1);
       ask.time_left = Duration(1200000);
       Feed(ask);
-      Run(Duration(20000));
+      Run(every);
     }
   }
 
@@ -128,6 +128,28 @@
   CHECK(rig.refused == 0);
 }
 
+// One pooler of hundreds asks a group once a second, and each of its members every six. What it heard last of any
+// of them tells of all: a crowded group was sent its usual load until its queues were full, and all of it late.
+TEST_CASE("a pooler that asks a group seldom refuses soon after the group is crowded, and not for long") {
+  Rig rig;
+  ListEvent six{ListKind::kPartial, {}};
+  for (std::uint32_t i = 3; i <= 6; ++i) six.entries.push_back({.member = MemberId(i), .group = GroupId(1)});
+  rig.Feed(six);
+  const auto all_take = [&](Duration time) {
+    for (std::uint32_t i = 1; i <= 6; ++i) rig.takes[MemberId(i)] = time;
+  };
+  all_take(Duration(60000));
+  rig.Ask(60, Duration(1000000));
+  CHECK(rig.refused == 0);
+  all_take(Duration(200000));
+  rig.Ask(20, Duration(1000000));
+  CHECK(rig.refused >= 5);
+  all_take(Duration(60000));
+  rig.Ask(10, Duration(1000000));
+  rig.Ask(20, Duration(1000000));
+  CHECK(rig.refused <= 2);
+}
+
 TEST_CASE("where answers are quick, the advice to come back is short") {
   Rig rig;
   rig.takes[kFirst] = rig.takes[kSecond] = Duration(10000);
