--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -36,8 +36,8 @@
 
 void Watch::Start() { CallFirst(); }
 
-// Spreading calls that cost nobody anything made 300 instances wait up to 6 s after a start, and send to members
-// that their agents had long known to drain.
+// Spreading calls that cost nobody anything made 300 instances wait up to 6 s after a start, and send to
+// members that their agents had long known to drain.
 void Watch::CallFirst() {
   const Duration wait = callers_.shared ? backoff_.Spread(Chance(), callers_.first_within) : Duration{0};
   again_.After(wait, [this] { Call(); });
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -31,8 +31,8 @@
         Callers callers, Changed changed);
   ~Watch();
 
-  // Calls an agent at once: what it has counts as told, and its word on who drains binds from then on. A shared
-  // service is called after a wait that is spread over the instances: all may have started together.
+  // Calls an agent at once: what it has counts as told, and its word on who drains binds from then on. A
+  // shared service is called after a wait that is spread over the instances: all may have started together.
   void Start();
   // Watches there from now on, from the version that was reached. An agent there that does not know that
   // version sends its whole list, which stands in place of all before, whatever its number.
--- a/src/fleet/latency.cpp
+++ b/src/fleet/latency.cpp
@@ -6,14 +6,14 @@
 namespace lynxgrade::fleet {
 namespace {
 
-// A queue that matters is some of the shortest aims long (hundreds of milliseconds): it builds up and goes within
-// about a second, and what was heard so long ago has half faded.
-constexpr double kFades = 1.5;       // seconds
-constexpr double kLeastGain = 0.08;  // about the last twenty answers, where they come fast
-constexpr double kMostGain = 0.6;    // one answer is not all: requests of a class differ by themselves
+// A queue that matters is some of the shortest aims long (hundreds of milliseconds): it builds up and goes
+// within about a second, and what was heard so long ago has half faded.
+constexpr double kFades = 1.5;          // seconds
+constexpr double kLeastGain = 0.08;     // about the last twenty answers, where they come fast
+constexpr double kMostGain = 0.6;       // one answer is not all: requests of a class differ by themselves
 constexpr double kMostLostGain = 0.25;  // where none came: it may be the connection that is lost
-constexpr double kCrowdPrior = 1;    // answers that the absence of news stands for
-constexpr double kOldAfter = 3;      // seconds: two such spans; what was heard of the member itself lasts longer
+constexpr double kCrowdPrior = 1;       // answers that the absence of news stands for
+constexpr double kOldAfter = 3;         // seconds: two such spans, as the member's own news tells more
 
 double Seconds(Duration d) { return static_cast<double>(d.count()) * 1e-6; }
 
--- a/src/fleet/latency.h
+++ b/src/fleet/latency.h
@@ -1,5 +1,5 @@
-// How slow a member is just now, from answers that one instance of many gets once in a while. Owns the estimates
-// of a member and of the group that it is in; has no clock of its own.
+// How slow a member is just now, from answers that one instance of many gets once in a while. Owns the
+// estimates of a member and of the group that it is in; has no clock of its own.
 #pragma once
 
 #include <cstddef>
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -128,8 +128,8 @@
   CHECK(rig.refused == 0);
 }
 
-// One pooler of hundreds asks a group once a second, and each of its members every six. What it heard last of any
-// of them tells of all: a crowded group was sent its usual load until its queues were full, and all of it late.
+// One pooler of hundreds asks a group once a second, and each of its members every six. What it heard last of
+// any of them tells of all: a crowded group was sent its usual load until its queues were full.
 TEST_CASE("a pooler that asks a group seldom refuses soon after the group is crowded, and not for long") {
   Rig rig;
   ListEvent six{ListKind::kPartial, {}};
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -649,8 +649,8 @@
   CHECK(peers[1]->Saw("since=43 "));
 }
 
-// 300 instances start together, or are told of a new address at once. An agent of their own is called at once:
-// what it has counts as told. Calls to one service for all are spread, but no later than the first may be.
+// 300 instances start together, or are told of a new address at once. An agent of their own is called at
+// once: what it has counts as told. Calls to one service for all are spread, within what the first may wait.
 TEST_CASE("an agent is called at once, a shared service within the time that is left to obey a drain") {
   net::Loop loop;
   net::Listener agent(
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -67,6 +67,13 @@
   EXPECT_TRUE(s.tenants.empty());
 }
 
+TEST(Decode, ANumberOfPoolersThatIsNotToldIsNotOne) {
+  std::string text = kSpawn;
+  text.replace(text.find(R"("peers_total":3,)"), 16, "");
+  Codec codec;
+  EXPECT_EQ(std::get<Start>(codec.Decode(text)).settings.peers_total, 0u);
+}
+
 TEST(Decode, EveryOtherEvent) {
   Codec codec;
   codec.Decode(kSpawn);
