Count a read's aim from its client's first try; give up at once what no replica can reach

At fault: UsefulUntil and Hopeless counted from the try's own arrival; Route's Ask(r) and Wait for reads that no replica can come to.

Now: src/estimate/first_try learns the part of the deadline that first tries get (majority vote), and tells a later try's age from what it leaves; src/estimate/position tells which replicas may hold or reach a target.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,11 +1,16 @@
 // The decisions of lynxgrade: every rule, table and tuned value. The interface is balance.h.
 #include "balance.h"
 
+#include "estimate/first_try.h"
+#include "estimate/position.h"
+#include "estimate/stay.h"
+#include "fleet/carried.h"
 #include "fleet/demand.h"
 #include "fleet/draw.h"
 #include "fleet/latency.h"
 #include "fleet/size.h"
 #include "fleet/warm_up.h"
+#include "limits/window.h"
 
 #include <algorithm>
 #include <cmath>
@@ -32,15 +37,12 @@
 constexpr double kRetryShare = 0.2;     // retry budget earned by a request: a fifth of it again
 constexpr double kRetryBurst = 20;      // most retries saved up
 constexpr double kNominalPart = 0.4;    // of the tenants' shares: what warm members surely carry
-constexpr double kCarrySeconds = 5;     // smoothing of the load carried for a warm member
 constexpr double kProbePoints = 0.004;  // of the goal spent on routine probes at most
 constexpr std::size_t kMostProbes = 3;  // routine probes a beat
 constexpr double kFreeProbes = 1;       // routine probes a request where they cost nothing
 constexpr int kStalePauses = 3;         // a position this old is asked for, where answers tell none
 constexpr int kStaleToldPauses = 20;    // and where they do
 constexpr double kFarBehind = 0.02;     // share of its draw left to a replica expected to miss
-constexpr double kStayGain = 0.1;       // EWMA gain of how long clients stay
-constexpr double kStayMost = 1.5;       // and its start, in aims: beyond one it changes nothing
 constexpr double kMissGain = 0.03;      // EWMA gain of the share missed by replicas of unknown position
 constexpr double kTogether = 30;        // draw of the replica that takes a group's long any-reads
 constexpr double kLongRead = 3;         // what is long: so many times the shortest class
@@ -51,9 +53,6 @@
 constexpr double kMostRefused = 0.95;   // some go through still, or recovery would not be seen
 constexpr double kWorkedOff = 0.5;      // of its length a queue takes to go, as refusals thin out the rest
 constexpr double kSpareAim = 0.6;       // of its aim: a primary whose work takes less has room to spare
-constexpr double kSpillCut = 0.7;       // of the spill window when it has not
-constexpr double kSpillStep = 0.5;      // and its growth with each read that came back well
-constexpr int kTrustPauses = 8;         // how long an expectation of a position is relied on
 constexpr double kLateMatters = 0.5;    // a class worth this part when late is waited for after its aim
 constexpr double kCheapLow = 0.8;       // bounds of that judgement: no class is to be starved
 constexpr double kCheapHigh = 1.6;
@@ -86,11 +85,7 @@
   bool leaving = false;      // told that it drains or is gone
   std::optional<Time> gone;  // since when, where it does not merely drain
   std::optional<Time> started;
-  std::optional<Position> proven;  // a floor: it never falls
-  Time heard{};                    // when `proven` was last raised or confirmed
-  double pace = 1;                 // how fast its position moves, against the clock
-  Position pace_from{};
-  Time pace_at{};
+  estimate::LogPosition position;
   std::optional<Time> primary_at;  // newest proof or claim of being primary
   std::optional<Time> replica_at;  // and of not being it
   fleet::Latency latency;
@@ -107,9 +102,7 @@
   fleet::ColdStore cold;
   Time probed{};
   bool probing = false;
-  double spill_window = 1;  // waiting reads that a primary may hold for this proxy
-  int spilled = 0;
-  Time spill_cut{};
+  limits::Window spare;  // for waiting reads that a primary may hold for this proxy
 };
 
 struct Group {
@@ -131,6 +124,7 @@
 struct Request {
   RequestEvent ask;
   Time arrived{};
+  Time asked{};  // by the client for the first time, as far as can be told: from then on its aim counts
   Time deadline{};
   std::vector<Attempt> attempts;
   Time next_try{};
@@ -244,7 +238,7 @@
 
   // This proxy's part of what a cold member may be sent, in work a second.
   double ColdRate(const Member& m) const {
-    return warm_up_.Rate(now_ - *m.started, std::max(carry_, Nominal()));
+    return warm_up_.Rate(now_ - *m.started, std::max(carried_.PerSecond(), Nominal()));
   }
 
   // Where the part is below one request it is kept by chance: the most of all draws in a group that may
@@ -309,16 +303,7 @@
   }
 
   void PositionSeen(Member& m, Position position) {
-    if (m.proven && position <= *m.proven && now_ - m.heard < kPause) return;
-    if (!m.proven || position > *m.proven) m.proven = position;
-    m.heard = now_;
-    if (now_ - m.pace_at >= kPause * 6) {
-      const double moved = Seconds(*m.proven - m.pace_from) / Seconds(now_ - m.pace_at);
-      m.pace = std::clamp(moved, 0.0, 1.0);
-      m.pace_from = *m.proven;
-      m.pace_at = now_;
-    }
-    stirred_ = true;
+    stirred_ = m.position.Seen(Since(now_), Since(position)) || stirred_;
   }
 
   void TakeReport(Member& m, const Report& report) {
@@ -330,14 +315,10 @@
     if (report.position) PositionSeen(m, *report.position);
   }
 
-  // Where a replica is expected to stand by now.
-  Position Expected(const Member& m) const { return *m.proven + Times(now_ - m.heard, m.pace); }
-
-  // Whether it can be told if the member has reached the target: it proved it, or was heard of lately; that
-  // it is behind holds for about as long as it is behind. Else it is unknown, not what it once was.
+  static Duration Since(Time t) { return t.time_since_epoch(); }
+  Position Expected(const Member& m) const { return Position(m.position.Expected(Since(now_))); }
   bool Known(const Member& m, const std::optional<Position>& target) const {
-    if (Proven(m, target)) return true;
-    return m.proven && now_ - m.heard <= kPause * kTrustPauses + std::max(Duration{0}, *target - Expected(m));
+    return !target || m.position.Known(Since(now_), Since(*target));
   }
 
   // Whether a read may be expected to find its target there; members that check guard the rule themselves.
@@ -362,7 +343,7 @@
   double Cost(const Request& r) const { return class_latency_[r.ask.cls]; }
 
   static bool Proven(const Member& m, const std::optional<Position>& target) {
-    return !target || (m.proven && *m.proven >= *target);
+    return !target || m.position.Proven(Since(*target));
   }
   static bool Tried(const Request& r, MemberId id) {
     return std::ranges::any_of(r.attempts, [id](const Attempt& a) { return a.member == id; });
@@ -491,7 +472,7 @@
     for (const auto& [cheapness, id] : order) {
       if (!waiting_.contains(id)) continue;
       Request& r = requests_.at(id);
-      if (Seconds(UsefulUntil(r) - now_) < class_latency_[r.ask.cls] / 2 || HeldTooLong(r)) {
+      if (TooLate(r) || HeldTooLong(r)) {
         Finish(r);
       } else if (now_ >= r.next_try || PositionReached(r)) {
         Route(r);
@@ -499,6 +480,9 @@
     }
   }
 
+  // Not even a quick answer would be of use: it would take the place of one that can still be served.
+  bool TooLate(const Request& r) const { return Seconds(UsefulUntil(r) - now_) < Cost(r) / 2; }
+
   // Half of a client's time is its own: where nobody could be asked by then, it is better told when to come
   // back.
   bool HeldTooLong(const Request& r) const {
@@ -517,6 +501,22 @@
     return false;
   }
 
+  // Whether a replica may yet come to the target of a read that must be proven, while an answer is of use.
+  // Else it is given up at once: it would be refused all the same, and its client come again too late.
+  bool AnyMayReach(const Request& r) {
+    const std::optional<Position> target = Target(r);
+    const Duration within = UsefulUntil(r) - now_ - Times(Duration(1000000), Cost(r) / 2);
+    bool none = true;
+    for (MemberId id : groups_[r.ask.group].members) {
+      const Member& m = members_.at(id);
+      if (m.leaving || IsPrimary(m)) continue;
+      const bool moves = Class(r).kind == ReadKind::kBounded;
+      if (!target || m.position.MayReach(Since(now_), within, Since(*target), moves)) return true;
+      none = false;
+    }
+    return none;
+  }
+
   // Where a request goes now: to a member, or back to waiting.
   void Route(Request& r) {
     waiting_.erase(r.ask.id);
@@ -534,7 +534,10 @@
       spill = m != nullptr;
     }
     if (m == nullptr) {
-      if (!NeedsPrimary(r) && MustProve(r)) Ask(r);
+      if (!NeedsPrimary(r) && MustProve(r)) {
+        if (!AnyMayReach(r)) return Finish(r);
+        Ask(r);
+      }
       return Wait(r, kPause);
     }
     if (Hopeless(r, *m)) {
@@ -569,17 +572,14 @@
   Member* SpareOf(const Request& r) {
     Member* m = Primary(r.ask.group);
     if (m == nullptr || !Usable(*m) || !MaySend(r, *m) || !HasSpare(*m)) return nullptr;
-    return m->spilled < static_cast<int>(m->spill_window) ? m : nullptr;
+    return m->spare.Open() ? m : nullptr;
   }
 
   bool HasSpare(Member& m) {
     for (std::size_t i = 0; i < s_.classes.size(); ++i) {
       if (!NeedsPrimary(s_.classes[i])) continue;
       if (class_latency_[i] * Slowness(m) <= kSpareAim * Seconds(s_.classes[i].aim)) continue;
-      if (now_ - m.spill_cut > kPause * 4) {
-        m.spill_window = std::max(1.0, m.spill_window * kSpillCut);
-        m.spill_cut = now_;
-      }
+      m.spare.Cut(Since(now_));
       return false;
     }
     return true;
@@ -613,8 +613,7 @@
     return from.empty() ? nullptr : from[random_() % from.size()];
   }
 
-  // How little a request earns for its work, against the classes that want the same members.
-  // What earns least goes first.
+  // How little a request earns for its work, against classes that want the same members: least goes first.
   double Cheapness(const Request& r) const {
     double sum = 0, count = 0;
     for (std::size_t i = 0; i < s_.classes.size(); ++i) {
@@ -628,22 +627,22 @@
 
   // Clients may leave long before their word; an answer after that is work wasted, and they come back.
   // Covers any early leaving; a slow answer that was still taken raises it again.
-  Duration Aim(const Request& r) const { return Times(Class(r).aim, std::min(1.0, stay_)); }
+  Duration Aim(const Request& r) const { return Times(Class(r).aim, stay_.Part()); }
 
   void StaySeen(const Request& r, bool left) {
     const double stayed = Seconds(now_ - r.arrived) / std::max(1e-6, Seconds(Class(r).aim));
-    if (left == (stayed < stay_)) stay_ += kStayGain * (std::min(stayed, kStayMost) - stay_);
+    stay_.Seen(stayed, left);
   }
 
   Time UsefulUntil(const Request& r) const {
     if (Class(r).late_value >= kLateMatters) return r.deadline;
-    return std::min(r.deadline, r.arrived + Aim(r));
+    return std::min(r.deadline, r.asked + Aim(r));
   }
 
   // A request that is expected to come too late is refused early; the more so, the later.
   bool Hopeless(const Request& r, const Member& m) {
     // Once the aim has passed, what is left of the usefulness counts.
-    const Time aim = r.arrived + Aim(r);
+    const Time aim = r.asked + Aim(r);
     const double left =
         std::max(1e-4, Seconds((now_ < aim ? std::min(aim, r.deadline) : UsefulUntil(r)) - now_));
     return Chance(std::min(kMostRefused, (Expects(r, m) / left * Cheapness(r) - kHopeless) / kHopelessRamp));
@@ -662,7 +661,7 @@
     const auto target = Target(r);
     m.out[{r.ask.id, static_cast<AttemptNumber>(r.attempts.size())}] = {
         now_, r.ask.cls, spill, target, !Known(m, target), m.out.size()};
-    m.spilled += spill;
+    if (spill) m.spare.Take();
     r.attempts.push_back({m.id, now_, true, true});
     out_->push_back(Send{r.ask.id, m.id, r.deadline - now_});
   }
@@ -677,13 +676,15 @@
     Request& r = requests_[event.id];
     r.ask = event;
     r.arrived = now_;
+    estimate::FirstTry& first = first_tries_[event.cls];
+    r.asked = now_ - first.Age(Class(r).deadline, event.time_left, event.repeat);
     r.deadline = now_ + event.time_left;
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryShare);
     probe_tokens_ += std::min({kFreeProbes, kProbePoints / s_.price_probe, kRetryBurst - probe_tokens_});
     Group& g = groups_[event.group];
     r.missed_at_change = g.role_changes;
     const Duration left = event.time_left - s_.tick * 2;
-    if (left <= Duration{0}) return Finish(r);
+    if (left <= Duration{0} || TooLate(r)) return Finish(r);
     SetTimer(TimerKind::kEnd, left, static_cast<std::uint64_t>(event.id));
     Route(r);
   }
@@ -694,8 +695,7 @@
     Member& m = found->second;
     const Outstanding was = m.out.extract({event.id, event.attempt}).mapped();
     if (was.spilled) {
-      --m.spilled;
-      if (event.outcome == Outcome::kOk && HasSpare(m)) m.spill_window += kSpillStep;
+      m.spare.Return(event.outcome == Outcome::kOk && HasSpare(m));
       stirred_ = true;
     }
     if (was.target && !IsPrimary(m) && (event.outcome == Outcome::kOk || event.outcome == Outcome::kMiss)) {
@@ -742,7 +742,7 @@
       m.down = false;
       m.answered = std::max(m.answered, was.sent);
       if (m.fail < kFailAfterRest / 2) m.rests = 0;
-      carried_ += usual;
+      carried_.Add(usual);
       return;
     }
     // Called off, it would have taken longer still. But where later ones were answered, or where answers tell
@@ -803,8 +803,7 @@
     if (handled_ != Time{} && gap > kPause * 2) {
       for (auto& [id, m] : members_) {
         for (auto& [key, sent] : m.out) sent.sent = std::min(now_, sent.sent + gap - kPause);
-        m.pace_at = std::min(now_, m.pace_at + gap - kPause);
-        if (m.proven) m.pace_from = std::min(*m.proven, m.pace_from + (gap - kPause));
+        m.position.Forgive(Since(now_), gap - kPause);
       }
     }
     handled_ = now_;
@@ -885,6 +884,7 @@
   }
 
   void Finish(Request& r) {
+    first_tries_[r.ask.cls].Unserved(now_ - r.asked);
     CancelPending(r);
     out_->push_back(MayRefuse(r) ? Action(Refuse{r.ask.id, ComeBack(r)}) : Action(Fail{r.ask.id}));
     Forget(r);
@@ -927,11 +927,13 @@
     if (event.report) TakeReport(m, *event.report);
   }
 
-  // Nobody is known to qualify and members do not check: ask.
+  // Nobody is known to qualify and members do not check: ask those that may, by what was last heard of them.
   void Ask(const Request& r) {
+    const std::optional<Position> target = Target(r);
     for (MemberId id : groups_[r.ask.group].members) {
       Member& m = members_.at(id);
-      if (Usable(m) && !IsPrimary(m)) ProbeMember(m);
+      if (!Usable(m) || IsPrimary(m)) continue;
+      if (!target || m.position.MayHold(Since(now_), Since(*target))) ProbeMember(m);
     }
   }
 
@@ -949,10 +951,7 @@
     SetTimer(TimerKind::kBeat, kPause);
     double warm = 0;  // members' worth of warm capacity
     for (const auto& [id, m] : members_) warm += Usable(m) ? WarmShare(m) : 0;
-    const double keep = std::exp(-Seconds(kPause) / kCarrySeconds);
-    const double rate = carried_ / Seconds(kPause) / std::max(1.0, warm);
-    carry_ = carry_ * keep + rate * (1 - keep);
-    carried_ = 0;
+    carried_.End(Seconds(kPause), warm);
     DropGone();
     SeekPrimaries();
     ProbeStale();
@@ -981,11 +980,11 @@
     std::vector<Member*> stale;
     for (auto& [id, m] : members_) {
       if (m.leaving || m.probing) continue;
-      if (now_ - std::max(m.heard, m.probed) > kPause * pauses) stale.push_back(&m);
+      const Duration asked = std::max(m.position.heard(), Since(m.probed));
+      if (Since(now_) - asked > kPause * pauses) stale.push_back(&m);
     }
     std::shuffle(stale.begin(), stale.end(), random_);
-    std::stable_sort(stale.begin(), stale.end(),
-                     [](const Member* a, const Member* b) { return a->heard < b->heard; });
+    std::ranges::stable_sort(stale, {}, [](const Member* m) { return m->position.heard(); });
     for (std::size_t i = 0; i < std::min(kMostProbes, stale.size()); ++i) PaidProbe(*stale[i]);
   }
 
@@ -1009,12 +1008,12 @@
   std::map<RequestId, Request> requests_;
   std::set<RequestId> waiting_;
   std::vector<double> class_latency_;
-  double stay_ = kStayMost;        // how long clients stay, in aims
+  std::vector<estimate::FirstTry> first_tries_ = std::vector<estimate::FirstTry>(s_.classes.size());
+  estimate::Stay stay_;
   double miss_share_[2] = {0, 0};  // of other replicas, and of hosts of long reads
   double retry_tokens_ = kRetryBurst;
   double probe_tokens_ = kRetryBurst;
-  double carried_ = 0;
-  double carry_ = 0;
+  fleet::Carried carried_;
   fleet::Demand demand_[2];  // over all groups
   int watch_failures_ = 0;
 };
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -16,7 +16,10 @@
 
 // One module with a clock of its own; attempts are answered after the time that is set for their member.
 struct Rig {
-  Rig() : balancer(SettingsHere(), 7) { List(ListKind::kPersisted, Lifecycle::kServing); }
+  Rig() : Rig(SettingsHere()) {}
+  explicit Rig(const Settings& settings) : balancer(settings, 7) {
+    List(ListKind::kPersisted, Lifecycle::kServing);
+  }
 
   static Settings SettingsHere() {
     Settings s;
@@ -47,6 +50,11 @@
         ++refused;
         shortest = std::min(shortest, refuse->stay_away);
       }
+      if (const auto* probe = std::get_if<Probe>(&action)) {
+        ++probes;
+        const Report report{.position = now - lag, .primary = false};
+        due.emplace(now + Duration(1000), ProbeEvent{probe->member, Outcome::kOk, Duration(1000), report});
+      }
       if (const auto* send = std::get_if<Send>(&action)) {
         ++sent[send->member];
         OutcomeEvent end;
@@ -89,6 +97,8 @@
   std::map<MemberId, Duration> takes{{kFirst, Duration(30000)}, {kSecond, Duration(30000)}};
   std::map<MemberId, int> sent;
   int refused = 0;
+  int probes = 0;
+  Duration lag{0};  // of both members, as probes tell it
   Duration shortest{1000000000};
   std::uint32_t last = 0;
 };
@@ -183,6 +193,69 @@
   CHECK(rig.refused == 1);
 }
 
+// Data servers that answer from what they have, however old, and report positions.
+Settings Unchecked() {
+  Settings s = Rig::SettingsHere();
+  s.classes[0].kind = ReadKind::kBounded;
+  s.classes[0].bound = Duration(500000);
+  s.classes[0].aim = Duration(1000000);
+  s.lag_check = LagCheck::kNone;
+  s.reports = Reports::kAnswers;
+  s.may_probe = true;
+  s.price_probe = 0.01;
+  return s;
+}
+
+// Seen on the second deployment: reads waited a second for replicas that were ten seconds behind, with a
+// probe of each every pause, were refused then, and clients came again when nothing was of use any more.
+TEST_CASE("a read that no replica can come to in time is refused at once, and nobody is asked for it") {
+  Rig rig(Unchecked());
+  rig.lag = Duration(10000000);
+  rig.Run(Duration(2000000));
+  rig.probes = 0;
+  rig.Ask(10, Duration(100000));
+  CHECK(rig.refused >= 9);
+  CHECK(rig.sent[kFirst] + rig.sent[kSecond] == 0);
+  CHECK(rig.probes < 10);
+  CHECK(rig.shortest > Duration{0});
+}
+
+TEST_CASE("a read waits for a replica that is near its target, and goes there once it is proven") {
+  Rig rig(Unchecked());
+  rig.lag = Duration(600000);
+  rig.Run(Duration(2000000));
+  rig.Ask(1, Duration(150000));
+  CHECK(rig.refused == 0);
+  CHECK(rig.sent[kFirst] + rig.sent[kSecond] == 0);
+  rig.lag = Duration(10000);
+  rig.Run(Duration(200000));
+  CHECK(rig.refused == 0);
+  CHECK(rig.sent[kFirst] + rig.sent[kSecond] == 1);
+}
+
+// The same: a tenth of all answers came after the aim, which is counted from the client's first try, on days
+// on which half of the reads were refused.
+TEST_CASE("a client that comes again after its aim has passed does not take the place of one in time") {
+  Rig rig;
+  const auto ask = [&](Duration left, bool repeat) {
+    RequestEvent event;
+    event.id = RequestId(++rig.last);
+    event.group = GroupId(1);
+    event.time_left = left;
+    event.repeat = repeat;
+    rig.Feed(event);
+    rig.Run(Duration(50000));
+  };
+  for (int i = 0; i < 20; ++i) ask(Duration(800000), false);
+  CHECK(rig.refused == 0);
+  // 1.2 s in all: a try with 0.85 s left is the last of one that began 0.35 s ago, and its aim is 0.3 s.
+  ask(Duration(850000), true);
+  ask(Duration(400000), true);
+  CHECK(rig.refused == 2);
+  ask(Duration(800000), false);
+  CHECK(rig.refused == 2);
+}
+
 TEST_CASE("a group that no list names is refused at once, whatever time there is") {
   Rig rig;
   RequestEvent ask;
