--- a/tests/estimate_test.cpp
+++ b/tests/estimate_test.cpp
@@ -231,6 +231,15 @@
     }
     CHECK(Stays(1, 1.5, 0.3, seed).Part() == 1);
   }
+  // Answers later than that are given up, so none tells that a client had stayed for it.
+  std::mt19937_64 random(1);
+  std::uniform_real_distribution<double> even(0, 1);
+  Stay loop;
+  for (int i = 0; i < 3000; ++i) {
+    const bool left = even(random) < 0.02;
+    loop.Seen(left ? 0.1 * even(random) : std::min(loop.Part(), 1.5 * even(random)), left);
+  }
+  CHECK(loop.Part() == 1);
   Stay turned = Stays(1, 0.25, 0.3, 1);
   for (int i = 0; i < 3000; ++i) turned.Seen(0.6, false);
   CHECK(turned.Part() == 1);
