Bound the fleet's probes and connects under test; discovery that talks nonsense has failed

At fault: Ask() in balance.cpp, which asked a whole group each pause for held reads that have no target, so no position counts.

Now reads without a target ask nobody, and only a line that can be used, or an empty one, ends an episode of failures.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -931,8 +931,8 @@
     const std::optional<Position> target = Target(r);
     for (MemberId id : groups_[r.ask.group].members) {
       Member& m = members_.at(id);
-      if (!Usable(m) || IsPrimary(m)) continue;
-      if (!target || m.position.MayHold(Since(now_), Since(*target))) ProbeMember(m);
+      if (!target || !Usable(m) || IsPrimary(m)) continue;
+      if (m.position.MayHold(Since(now_), Since(*target))) ProbeMember(m);
     }
   }
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -99,12 +99,17 @@
 }
 
 void Watch::TakeLine(const std::string& line) {
+  std::string wrong;
+  std::optional<RosterChange> change;
+  const bool blank = line.find_first_not_of(" \t\r") == std::string::npos;
+  if (!blank) change = reader_.Read(line, wrong);
+  // One that answers and cannot be understood has failed: called again at once, it would be called without
+  // end, by all instances.
+  const auto level = backoff_.failures() > 0 && !change ? spdlog::level::debug : spdlog::level::warn;
+  if (!wrong.empty()) spdlog::log(level, "discovery: {}", wrong);
+  if (!blank && !change) return;
   backoff_.Succeeded();
   heard_ = true;
-  if (line.find_first_not_of(" \t\r") == std::string::npos) return;
-  std::string wrong;
-  const auto change = reader_.Read(line, wrong);
-  if (!wrong.empty()) spdlog::warn("discovery: {}", wrong);
   if (!change) return;
   since_ = change->revision;
   changed_(*change);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -126,9 +126,14 @@
 // instances start anew. Members answer all they get; what counts is what they are sent.
 class Fleet {
  public:
-  // `told`: how many instances the settings say that there are.
-  Fleet(std::uint32_t instances, std::uint32_t told, bool uneven, std::uint64_t seed)
-      : settings_(Site(told)), random_(seed) {
+  // `told`: how many instances the settings say that there are; `probes`: what one costs, 0 where none may be
+  // sent; `ended`: a member of the second group whose process has ended, though it is listed; 0: none.
+  Fleet(std::uint32_t instances, std::uint32_t told, bool uneven, std::uint64_t seed, double probes = 0,
+        std::uint32_t ended = 0)
+      : settings_(Site(told)), random_(seed), ended_(ended) {
+    settings_.may_probe = probes > 0;
+    settings_.price_probe = probes;
+    settings_.reports = probes > 0 ? Reports::kProbes : Reports::kNone;
     for (std::uint32_t i = 0; i < instances; ++i) {
       weights_.push_back(uneven ? 1.0 / (1 + i % 5) : 1);
       Begin(i, Entries(false), seed * 1000 + i);
@@ -161,8 +166,20 @@
       ask.time_left = settings_.classes[ask.cls].deadline;
       Feed(which(random_), now, ask);
     }
+    requests_ = id;
   }
 
+  std::uint32_t requests() const { return requests_; }
+  int starts() const {
+    int sum = 0;
+    for (const auto& [who, life] : lives_) sum += life;
+    return sum;
+  }
+  int probes() const { return probes_; }
+  // Connections that were opened, and that the ended member refused.
+  int connects() const { return connects_; }
+  int refused() const { return refused_; }
+
   // The most work sent to a new member within any three seconds, as a part of what makes it fall over if it
   // warms up as slowly as the settings allow.
   double WorstPart() const {
@@ -197,6 +214,12 @@
   }
 
  private:
+  static constexpr int kIdleSeconds = 10;  // for which a connection is kept
+  // One instance's connections to one member.
+  struct Link {
+    int out = 0;
+    std::vector<Time> idle;  // since when
+  };
   struct Due {
     std::uint32_t who;
     int life;
@@ -217,17 +240,30 @@
   void Begin(std::uint32_t who, const std::vector<ListEntry>& entries, std::uint64_t seed) {
     balancers_.insert_or_assign(who, Balancer(settings_, seed));
     ++lives_[who];
+    for (auto& [link, state] : links_) {
+      if (link.first == who) state.out = 0, state.idle.clear();
+    }
     Feed(who, now_, ListEvent{ListKind::kPersisted, entries});
   }
 
   void Feed(std::uint32_t who, Time now, const Event& event) {
     now_ = std::max(now_, now);
+    if (const auto* end = std::get_if<OutcomeEvent>(&event)) Disconnect(who, end->member);
     Actions actions;
     balancers_.at(who).Handle(now_, event, actions);
     for (const Action& action : actions) {
       if (const auto* timer = std::get_if<SetTimer>(&action)) {
         due_.emplace(now_ + timer->delay, Due{who, lives_[who], TimerEvent{timer->id}});
       }
+      if (const auto* probe = std::get_if<Probe>(&action)) {
+        ++probes_;
+        const bool found = static_cast<std::uint32_t>(probe->member) != ended_;
+        const ProbeEvent end{probe->member, found ? Outcome::kOk : Outcome::kUnreachable, Duration(1000), {}};
+        due_.emplace(now_ + end.taken, Due{who, lives_[who], end});
+      }
+      if (const auto* close = std::get_if<CloseIdle>(&action)) {
+        links_[{who, static_cast<std::uint32_t>(close->member)}].idle.clear();
+      }
       const auto* send = std::get_if<Send>(&action);
       if (send == nullptr) continue;
       const auto member = static_cast<std::uint32_t>(send->member);
@@ -241,13 +277,44 @@
       end.outcome = write && !primary ? Outcome::kMiss : Outcome::kOk;
       end.request_done = end.outcome == Outcome::kOk;
       end.taken = end.request_done ? Duration(80000) : Duration(1000);
+      if (member == ended_) {
+        ++refused_;
+        end.outcome = Outcome::kUnreachable;
+        end.request_done = false;
+        end.note = {};
+        end.taken = Duration(300);
+      } else {
+        Connect(who, member);
+      }
       if (end.request_done) sent_[member].push_back(now_);
       due_.emplace(now_ + end.taken, Due{who, lives_[who], end});
     }
   }
 
+  void Connect(std::uint32_t who, std::uint32_t member) {
+    Link& link = links_[{who, member}];
+    std::erase_if(link.idle, [&](Time since) { return now_ - since > Duration(1000000) * kIdleSeconds; });
+    if (link.idle.empty()) {
+      ++connects_;
+    } else {
+      link.idle.pop_back();
+    }
+    ++link.out;
+  }
+
+  void Disconnect(std::uint32_t who, MemberId member) {
+    if (static_cast<std::uint32_t>(member) == ended_) return;
+    Link& link = links_[{who, static_cast<std::uint32_t>(member)}];
+    --link.out;
+    link.idle.push_back(now_);
+  }
+
   Settings settings_;
   std::mt19937_64 random_;
+  std::uint32_t ended_;
+  std::uint32_t requests_ = 0;
+  int probes_ = 0, connects_ = 0, refused_ = 0;
+  std::map<std::pair<std::uint32_t, std::uint32_t>, Link> links_;
   const Time start_{Duration(1000000000)};
   Time now_ = start_;
   std::vector<double> weights_;
@@ -278,6 +345,40 @@
   CHECK(fleet::Size(7) == 7);
 }
 
+// What each instance does alone adds up: at 300 a probe each for a write that is held, or for each position
+// that has grown old, would be a load of its own.
+TEST_CASE("the probes of a fleet stay within their part of the goal, whatever its size") {
+  constexpr double kPrice = 0.038, kPoints = 0.004, kBurst = 20;
+  for (const std::uint32_t instances : {1u, 3u, 30u, 100u, 300u}) {
+    for (const std::uint32_t ended : {0u, 9u}) {
+      CAPTURE(instances);
+      CAPTURE(ended);
+      const Fleet fleet(instances, instances, true, 40 + instances, kPrice, ended);
+      // Each start has a few in hand.
+      CHECK(fleet.probes() <= kPoints / kPrice * fleet.requests() + kBurst * fleet.starts());
+      CHECK(fleet.probes() > 0);
+    }
+  }
+}
+
+// With one ended process on the list every pooler once gave back all its connections, for one that was
+// refused.
+TEST_CASE("a listed process that has ended is dialled ever more seldom, and costs no others a connection") {
+  for (const std::uint32_t instances : {1u, 3u, 30u, 100u, 300u}) {
+    CAPTURE(instances);
+    const Fleet sound(instances, instances, true, 50 + instances);
+    const Fleet one(instances, instances, true, 50 + instances, 0, 9);
+    // Those that would have gone to it go elsewhere, some of them to where no connection was kept.
+    CHECK(one.connects() <= 1.15 * sound.connects());
+    CHECK(sound.connects() <= (instances > 30 ? 0.6 : 0.15) * sound.requests());
+    CHECK(one.refused() > 0);
+    // 50 ms to 3.2 s, doubling: seven in the first six seconds, then one in half of the longest at the least.
+    CHECK(one.refused() <= one.starts() * (7 + 17 / 1.6));
+    MESSAGE(instances, ": ", sound.connects(), " connects, ", one.connects(), " with one ended, ",
+            one.refused(), " refused");
+  }
+}
+
 TEST_CASE("a draw keeps to its caps and gives what they cut off to the others, or to nobody") {
   const auto parts = [](std::vector<fleet::Lot> lots) {
     std::vector<double> part(lots.size() + 1);
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -2,6 +2,8 @@
 // kernel.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -10,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -695,6 +698,87 @@
   std::vector<std::unique_ptr<Peer>> peers;
 };
 
+// Keeps what is logged while it stands.
+struct Logged {
+  Logged() : before(spdlog::default_logger()) {
+    auto sink = std::make_shared<spdlog::sinks::ostream_sink_st>(text);
+    spdlog::set_default_logger(std::make_shared<spdlog::logger>("test", sink));
+  }
+  ~Logged() { spdlog::set_default_logger(before); }
+  int Count(const std::string& what) const {
+    int count = 0;
+    const std::string all = text.str();
+    for (std::size_t at = 0; (at = all.find(what, at)) != std::string::npos; ++at) ++count;
+    return count;
+  }
+  std::ostringstream text;
+  std::shared_ptr<spdlog::logger> before;
+};
+
+// Discovery that is of no use: it turns calls away, cuts its answer in the head and in a list, answers what
+// is none, and says nothing at all. What is known serves on, and the first word that can be used binds.
+TEST_CASE("discovery that fails in each way costs no answer, one line an episode, and its next word counts") {
+  World w;
+  DataServer& server = w.Serve(kAnswer);
+  w.List();
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const auto chunk = [](const std::string& line) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+    return size + line + "\r\n";
+  };
+  const Texts failures = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                          "HTTP/1.1 20",
+                          head + "40\r\n{\"rev\":44,\"all\":true,\"targ",
+                          head + chunk("{\"rev\":44,\"all\"\n"),
+                          head + chunk("[1,2]\n"),
+                          ""};
+  std::size_t calls = 0;
+  std::vector<std::unique_ptr<Peer>> peers;
+  net::Listener agent(
+      w.loop, [] { return true; },
+      [&](net::ObjectPtr<GSocket> socket) {
+        peers.push_back(std::make_unique<Peer>());
+        Peer& peer = *peers.back();
+        peer.connection = Connection::Adopt(w.loop, std::move(socket), peer, 65536, 65536);
+        const std::size_t call = calls++;
+        if (call < failures.size()) {
+          peer.Say(failures[call]);
+          if (!failures[call].empty()) peer.connection->EndSending();
+        } else {
+          peer.Say(head + chunk(R"({"rev":45,"all":false,"targets":[{"uid":"s-1",)"
+                                R"("endpoint":"127.0.0.1:)" +
+                                std::to_string(server.listener.port()) +
+                                R"(","az":"a","pod_group":2,"state":"Terminating"}]})"
+                                "\n"));
+        }
+      });
+  REQUIRE(agent.Open({"127.0.0.1", 0}).empty());
+  discovery::RosterReader reader({"a"});
+  const Logged logged;
+  bool told = false;
+  discovery::Watch watch(w.loop, {"127.0.0.1", agent.port()}, reader, 41, 1, {},
+                         [&](const discovery::RosterChange&) {
+                           told = true;
+                           w.List(ListKind::kPartial, Lifecycle::kDraining);
+                         });
+  watch.Start();
+  for (std::size_t i = 0; i < failures.size(); ++i) {
+    w.Until([&] { return calls > i; });
+    Peer& client = w.Client({Ask("any")});
+    w.Until([&] { return client.Types().ends_with("TDCZ"); });
+  }
+  w.Until([&] { return told; });
+  const std::size_t before = server.queries.size();
+  Peer& client = w.Client({Ask("any")});
+  w.Until([&] { return client.Types().ends_with("EZ"); });
+  CHECK(client.Saw("53300"));
+  CHECK(server.queries.size() == before);
+  CHECK(before == failures.size());
+  CHECK(logged.Count("watching anew") == 1);
+  CHECK(peers.back()->Saw("since=41 "));
+}
+
 // The program itself, on a port that was free a moment ago.
 struct Program {
   explicit Program(World& world) : world(world) {
