Let instances doubt themselves, and prove which part of the fleet they are with

The ground for state and limits of the fleet. Seen with the membership that was there, in virtual time: one of eight that gets its turn for a third of the time holds live ones dead 34 times in 8 times 18 s, a process that was stopped accuses whoever it had pinged before, at 30 % loss 19 live ones of 16 are held dead in three plays, and where two sides share some instances both count more than half alive.

Now Swim has Lifeguard's local health, suspicions that others confirm, and takes its own standstill for its own; src/members/standing says which part of the fleet this instance is with.

Off in 'run': [peers] is not set there.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -8,6 +8,7 @@
 
 #include "data_servers.h"
 #include "exchange_run.h"
+#include "members_run.h"
 #include "pooler_process.h"
 #include "sessions_run.h"
 
@@ -87,11 +88,23 @@
       ->check(CLI::Range(0, 90));
   of_exchange->add_option("--seconds", exchange.seconds, "measured")->check(CLI::Range(0.1, 60.0));
   of_exchange->add_option("--json", exchange.json, "also write the figures to this file");
+  MembersOptions members;
+  CLI::App* of_members =
+      run->add_subcommand("members", "which part of the fleet each process is with, over relays that cut");
+  of_members->add_option("--seed", members.seed, "for all that is drawn");
+  of_members->add_option("--instances", members.instances, "how many processes")->check(CLI::Range(3, 12));
+  of_members->add_option("--probe-ms", members.probe_ms, "their period")->check(CLI::Range(20, 1000));
+  of_members->add_option("--only", members.only, "one script")
+      ->check(CLI::IsMember({"cut", "thirds", "bridge", "loss", "stopped", "killed"}));
+  of_members->add_option("--json", members.json, "also write the figures to this file");
+  of_members->add_flag("--logs", members.keep_logs, "say where the poolers' logs are while it runs");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : 2;
   }
+  members.pooler = pooler;
+  if (of_members->parsed()) return RunMembers(members);
   sessions.pooler = pooler;
   if (up->parsed()) return Up(pooler);
   return of_exchange->parsed() ? RunExchange(exchange) : RunSessions(sessions);
--- /dev/null
+++ b/src/members/standing.cpp
@@ -0,0 +1,89 @@
+#include "members/standing.h"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace lynxgrade::members {
+namespace {
+
+constexpr std::size_t kFewParts = 10;  // of the fleet may be missing and it is not called cut; one always may
+
+}  // namespace
+
+const char* NameOf(Part part) {
+  switch (part) {
+    case Part::kInDoubt:
+      return "in doubt";
+    case Part::kAlone:
+      return "alone";
+    case Part::kSmaller:
+      return "smaller part";
+    case Part::kLarger:
+      return "larger part";
+    case Part::kSomeMissing:
+      return "some missing";
+    case Part::kWhole:
+      return "whole";
+  }
+  return "";
+}
+
+Standing::Standing(Options options, Time now)
+    : options_(options), settled_(now), heard_out_(now), since_(now) {
+  StoodStill(now);
+}
+
+void Standing::StoodStill(Time now) {
+  // An earlier life, or this one before it stopped, may have stood by another view just now.
+  settled_ = heard_out_ = now + options_.proof + options_.proof / kDriftParts;
+  words_.clear();
+}
+
+void Standing::Saw(Time now, std::uint64_t digest, std::size_t count) {
+  if (digest == digest_ && count == count_) return;
+  digest_ = digest;
+  count_ = count;
+  settled_ = std::max(settled_, now + options_.proof + options_.proof / kDriftParts);
+}
+
+void Standing::Answered(const std::string& who, Time asked, std::uint64_t declares) {
+  Word& word = words_[who];
+  if (asked < word.asked) return;
+  word = {asked, declares};
+}
+
+std::uint64_t Standing::Declares(Time now) const { return now >= settled_ ? digest_ : 0; }
+
+Standing::Value Standing::At(Time now) {
+  std::erase_if(words_, [&](const auto& item) { return now - item.second.asked > options_.proof; });
+  std::vector<Time> with;  // when those that stand by the same view were asked
+  for (const auto& [who, word] : words_) {
+    if (word.declares != 0 && word.declares == digest_) with.push_back(word.asked);
+  }
+  const bool settled = now >= settled_;
+  const std::size_t standing = settled ? with.size() + 1 : 0;
+  const std::size_t half = options_.size / 2;
+  Value value;
+  if (standing > half) {
+    const std::size_t missing = options_.size - std::min(options_.size, standing);
+    const std::size_t few = std::max<std::size_t>(1, options_.size / kFewParts);
+    value.part = missing == 0 ? Part::kWhole : missing <= few ? Part::kSomeMissing : Part::kLarger;
+    // It holds as long as more than half do: for as long as the word of the half-th newest counts.
+    if (half > 0) {
+      std::ranges::nth_element(with, with.begin() + static_cast<std::ptrdiff_t>(half) - 1, std::greater<>());
+      value.until = with[half - 1] + options_.proof;
+    }
+  } else if (now >= heard_out_ && count_ <= half) {
+    value.part = count_ <= 1 ? Part::kAlone : Part::kSmaller;
+  }
+  if (value.part != part_) {
+    part_ = value.part;
+    since_ = now;
+  }
+  value.since = since_;
+  value.view = digest_;
+  return value;
+}
+
+}  // namespace lynxgrade::members
--- /dev/null
+++ b/src/members/standing.h
@@ -0,0 +1,80 @@
+// How large a part of the fleet this instance is with, as far as it can prove it. Owns one value for all who
+// depend on it; free of sockets and clocks.
+//
+// A cut cannot be told from deaths, so a part is measured against the agreed size of the fleet, never against
+// those who are seen. An instance stands by one view at a time: those that it reaches both ways. It says on
+// each answer which one, and says none for a while after a change: for as long as what it said before may
+// still count. So each instance counts for one view at a time, whatever links are cut, and two views cannot
+// both have more than half of the fleet.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "balance.h"
+
+namespace lynxgrade::members {
+
+enum class Part {
+  kInDoubt,      // nothing is proven: just started, stopped for a while, or the view has just changed
+  kAlone,        // nobody else is in reach
+  kSmaller,      // half of the fleet or less is
+  kLarger,       // more than half is, and stands by the same view
+  kSomeMissing,  // all but a tenth, or one
+  kWhole,        // all
+};
+const char* NameOf(Part part);
+
+// Whether more than half of the fleet is proven to stand together: of two instances that are not of one view
+// at most one has this at any moment.
+constexpr bool IsMajority(Part part) { return part >= Part::kLarger; }
+
+class Standing {
+ public:
+  struct Options {
+    std::size_t size = 1;     // of the fleet, this instance included
+    Duration proof{5000000};  // how long an answer proves that its sender stood by its view
+  };
+  // Clocks may run apart by so much of the time; a view is settled that much later.
+  static constexpr int kDriftParts = 10;
+
+  // In doubt from `now` on.
+  Standing(Options options, Time now);
+
+  // The view as it is now: a digest of those in reach, this instance included, and their number.
+  void Saw(Time now, std::uint64_t digest, std::size_t count);
+  // An answer to what was asked at `asked`: its sender then stood by the view `declares`; zero: by none.
+  void Answered(const std::string& who, Time asked, std::uint64_t declares);
+  // The process stood still until `now`: others may have settled on what it knows nothing of.
+  void StoodStill(Time now);
+  // What goes out with each answer at `now`; zero while it is not settled.
+  std::uint64_t Declares(Time now) const;
+
+  struct Value {
+    Part part = Part::kInDoubt;
+    Time since{};
+    std::optional<Time> until{};  // up to when it is proven; absent: it needs no proof
+    std::uint64_t view = 0;       // of which view
+  };
+  // Never older than the options' `proof`, also in a process that has just gone on: what lapsed has lapsed.
+  Value At(Time now);
+
+ private:
+  struct Word {
+    Time asked{};
+    std::uint64_t declares = 0;
+  };
+  Options options_;
+  std::uint64_t digest_ = 0;
+  std::size_t count_ = 0;
+  Time settled_;
+  Time heard_out_;  // until then those in reach may not all have been heard yet
+  std::map<std::string, Word> words_;
+  Part part_ = Part::kInDoubt;
+  Time since_;
+};
+
+}  // namespace lynxgrade::members
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -45,6 +45,7 @@
   // Whether all instances that are known to live count this one among those that answer writes.
   bool Joined() const;
   const Swim& swim() const { return swim_; }
+  members::Standing::Value StandingAt(Time now) { return swim_.StandingAt(now); }
   const Counts& counts() const { return counts_; }
   // What each peer is covered up to, by name.
   std::map<std::string, Time> Covered() const;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -60,12 +61,14 @@
   self.set_name(name_);
   self.set_life(life);
   self.set_started_us(static_cast<std::uint64_t>(loop_.Now().time_since_epoch().count()));
-  self.set_address(TextOf(bound.get()));
+  // Where others reach it may not be where it listens: behind a relay, or in another network.
+  self.set_address(setup_.advertise ? TextOf(*setup_.advertise) : TextOf(bound.get()));
   std::vector<std::string> seeds;
   for (const net::Address& seed : setup_.seeds) seeds.push_back(TextOf(seed));
   Exchange::Options options;
   options.flush = setup_.flush;
   options.swim.period = setup_.probe;
+  options.swim.size = 1 + setup_.seeds.size();  // the settings name all others
   exchange_ =
       std::make_unique<Exchange>(options, std::move(self), std::move(seeds), recovered_, keeper_, life);
   exchange_->OnLog([](const std::string& text) { spdlog::info("peers: {}", text); });
@@ -94,10 +97,23 @@
 void Peers::Tick() {
   exchange_->Tick(loop_.Now(), out_);
   Flush();
+  TellPart();
   if (learnt_) learnt_();
   tick_.After(kTick, [this] { Tick(); });
 }
 
+void Peers::TellPart() {
+  const members::Part part = exchange_->StandingAt(loop_.Now()).part;
+  if (part == part_) return;
+  part_ = part;
+  const auto& peers = exchange_->swim().peers();
+  const auto reached = 1 + std::ranges::count_if(peers, [](const auto& item) {
+                         return item.second.member.state() == wire::Member::ALIVE;
+                       });
+  spdlog::info("peers: {}: {} of {} instances in reach", members::NameOf(part), reached,
+               1 + setup_.seeds.size());
+}
+
 void Peers::Solicit() {
   exchange_->Solicit(loop_.Now(), out_);
   Flush();
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -48,6 +48,8 @@
   void OnEvents(std::uint32_t events) override;
   void Take(std::string_view datagram, const std::string& from);
   void Tick();
+  // Says how large a part of the fleet this instance is with, where that has changed.
+  void TellPart();
   void Flush();
 
   net::Loop& loop_;
@@ -62,6 +64,7 @@
   std::vector<Out> out_;
   net::Timer tick_;
   net::LogLimit complaints_;
+  members::Part part_ = members::Part::kInDoubt;
   Time started_{};
   std::uint64_t dropped_ = 0;
 };
--- a/src/peers/swim.cpp
+++ b/src/peers/swim.cpp
@@ -2,20 +2,34 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lynxgrade::peers {
 namespace {
 
 constexpr int kAckPart = 3;              // of a period: an answer after that is asked for through others
-constexpr std::uint64_t kDeadEvery = 5;  // periods between pings of somebody who is held dead
+// Periods between pings of somebody who is held dead. They are not longer in doubt: after a cut all doubt
+// themselves, and it would heal in minutes.
+constexpr int kDeadEvery = 5;
+constexpr std::uint32_t kSpeaks = 1;     // a helper that has no answer says so
+// How long a helper waits before it says that it has none: the word is to be there before the period ends.
+constexpr int kNackAfter = 4;  // tenths of a period
 
 }  // namespace
 
 Swim::Swim(Options options, wire::Member self, std::vector<std::string> seeds, std::uint64_t seed)
-    : options_(options), self_(std::move(self)), unheard_(std::move(seeds)), random_(seed) {
+    : options_(options),
+      self_(std::move(self)),
+      unheard_(std::move(seeds)),
+      random_(seed),
+      standing_({options.size, options.period * options.proof_rounds * static_cast<int>(options.size)},
+                Time{}) {
   std::erase(unheard_, self_.address());
+  self_.set_speaks(kSpeaks);
 }
 
+void Swim::Doubt(int by) { doubt_ = std::clamp(doubt_ + by, 0, options_.most_doubt); }
+
 std::size_t Swim::Living() const {
   return static_cast<std::size_t>(std::ranges::count_if(
       peers_, [](const auto& item) { return item.second.member.state() <= wire::Member::SUSPECT; }));
@@ -26,6 +40,7 @@
 void Swim::Dress(wire::Packet& packet) {
   packet.set_version(1);
   *packet.mutable_sender() = self_;
+  packet.set_declares(standing_.Declares(now_));
   std::vector<std::pair<int, std::string>> order;
   for (const auto& [name, told] : rumours_) order.emplace_back(told, name);
   std::sort(order.begin(), order.end());
@@ -37,9 +52,12 @@
   }
 }
 
-void Swim::Ping(const std::string& address, std::uint64_t nonce, std::vector<Out>& out) {
+void Swim::Ping(const std::string& address, std::uint64_t nonce, std::vector<Out>& out, const Peer* about) {
   Out ping{address, {}};
   ping.packet.mutable_ping()->set_nonce(nonce);
+  if (about != nullptr && about->member.state() != wire::Member::ALIVE) {
+    *ping.packet.add_rumours() = about->member;
+  }
   Dress(ping.packet);
   out.push_back(std::move(ping));
 }
@@ -52,8 +70,13 @@
                 random_() % static_cast<std::uint64_t>(std::max<std::int64_t>(1, options_.period.count()))));
     for (const std::string& seed : unheard_) Ping(seed, random_(), out);
   }
-  std::erase_if(relays_, [now](const auto& item) { return item.second.until < now; });
-  if (probe_ && !probe_->asked && now - probe_->sent >= options_.period / kAckPart) {
+  now_ = now;
+  if (ticked_ == Time{}) standing_.StoodStill(now);  // it starts
+  if (ticked_ != Time{} && now - ticked_ > options_.period) StoodStill(now, now - ticked_);
+  ticked_ = now;
+  Look(now);
+  NackRelays(now, out);
+  if (probe_ && !probe_->asked && now - probe_->sent >= options_.period / kAckPart * (doubt_ + 1)) {
     probe_->asked = true;
     std::vector<const Peer*> others;
     for (const auto& [name, peer] : peers_) {
@@ -62,6 +85,7 @@
     std::shuffle(others.begin(), others.end(), random_);
     const std::string target = peers_[probe_->name].member.address();
     for (std::size_t i = 0; i < others.size() && i < static_cast<std::size_t>(options_.indirect); ++i) {
+      probe_->helpers += others[i]->member.speaks() >= kSpeaks;
       Out ask{others[i]->member.address(), {}};
       ask.packet.mutable_ping_for()->set_address(target);
       ask.packet.mutable_ping_for()->set_nonce(probe_->nonce);
@@ -69,15 +93,14 @@
       out.push_back(std::move(ask));
     }
   }
+  PingDead(now, out);
   if (now < next_) return;
   // A loop that stood still does not make up for what it missed: the answers may lie unread in its socket.
-  next_ = std::max(next_ + options_.period, now + options_.period / 2);
-  ++periods_;
-  EndProbe(now, out);
-  const double wait = std::max(1.0, std::log10(static_cast<double>(Living()) + 1)) * options_.suspicion;
-  const Duration suspicion(static_cast<std::int64_t>(wait * static_cast<double>(options_.period.count())));
+  EndProbe(now);
+  const Duration period = options_.period * (doubt_ + 1);
+  next_ = std::max(next_ + period, now + period / 2);
   for (auto& [name, peer] : peers_) {
-    if (peer.member.state() == wire::Member::SUSPECT && now - peer.changed >= suspicion) {
+    if (peer.member.state() == wire::Member::SUSPECT && now - peer.changed >= Patience(peer)) {
       Set(now, peer, wire::Member::DEAD);
     }
   }
@@ -86,7 +109,11 @@
   });
   BeginProbe(now, out);
   if (!unheard_.empty()) Ping(unheard_[next_seed_++ % unheard_.size()], random_(), out);
-  if (periods_ % kDeadEvery != 0) return;
+}
+
+void Swim::PingDead(Time now, std::vector<Out>& out) {
+  if (now < next_dead_) return;
+  next_dead_ = now + options_.period * kDeadEvery;
   std::vector<const Peer*> dead;
   for (const auto& [name, peer] : peers_) {
     if (peer.member.state() == wire::Member::DEAD) dead.push_back(&peer);
@@ -94,12 +121,58 @@
   if (!dead.empty()) Ping(dead[random_() % dead.size()]->member.address(), random_(), out);
 }
 
-void Swim::EndProbe(Time now, std::vector<Out>&) {
-  if (!probe_) return;
-  const auto it = peers_.find(probe_->name);
+Duration Swim::Patience(const Peer& peer) const {
+  const double living = static_cast<double>(Living());
+  const double least = std::max(1.0, std::log10(living + 1)) * options_.suspicion;
+  const double most = least * std::max(1.0, options_.unconfirmed);
+  // Confirmed by as many as there are beside the two, where those are few.
+  const double wanted = std::min(static_cast<double>(options_.confirmations), living - 2);
+  const double others = peer.accusers.empty() ? 0 : static_cast<double>(peer.accusers.size()) - 1;
+  const double confirmed = wanted < 1 ? 1 : std::log(others + 1) / std::log(wanted + 1);
+  const double periods = std::max(least, most - (most - least) * confirmed);
+  return Duration(static_cast<std::int64_t>(periods * static_cast<double>(options_.period.count())));
+}
+
+// A process that was stopped, or starved, finds the others silent: it was not listening. What it held against
+// them while it could not hear is void, and for a while it takes itself for the slow one.
+void Swim::StoodStill(Time now, Duration stall) {
+  ++stalls_;
+  standing_.StoodStill(now);
   probe_.reset();
-  if (it != peers_.end() && it->second.member.state() == wire::Member::ALIVE) {
-    Set(now, it->second, wire::Member::SUSPECT);
+  relays_.clear();
+  Doubt(options_.most_doubt);
+  for (auto& [name, peer] : peers_) {
+    if (peer.member.state() == wire::Member::SUSPECT) peer.changed = std::min(now, peer.changed + stall);
+  }
+  next_ = now + options_.period / 2;
+}
+
+void Swim::NackRelays(Time now, std::vector<Out>& out) {
+  for (auto& [nonce, relay] : relays_) {
+    if (relay.nacked || now < relay.nack_at) continue;
+    relay.nacked = true;
+    Out nack{relay.address, {}};
+    nack.packet.mutable_nack()->set_nonce(relay.nonce);
+    Dress(nack.packet);
+    out.push_back(std::move(nack));
+  }
+  std::erase_if(relays_, [now](const auto& item) { return item.second.until < now; });
+}
+
+void Swim::EndProbe(Time now) {
+  if (!probe_) return;
+  const Probe probe = *std::exchange(probe_, std::nullopt);
+  // Helpers that are silent as well: it may be this instance that nobody reaches.
+  Doubt(probe.helpers > 0 ? probe.helpers - probe.nacks : 1);
+  const auto it = peers_.find(probe.name);
+  if (it == peers_.end() || it->second.member.state() > wire::Member::SUSPECT) return;
+  Peer& peer = it->second;
+  const bool first = peer.accusers.insert(self_.life()).second;
+  peer.member.set_accuser(self_.life());
+  if (peer.member.state() == wire::Member::ALIVE) {
+    Set(now, peer, wire::Member::SUSPECT);
+  } else if (first) {
+    Tell(probe.name);
   }
 }
 
@@ -111,7 +184,7 @@
       const auto it = peers_.find(name);
       if (it == peers_.end() || it->second.member.state() > wire::Member::SUSPECT) continue;
       probe_ = Probe{name, random_(), now, false};
-      return Ping(it->second.member.address(), probe_->nonce, out);
+      return Ping(it->second.member.address(), probe_->nonce, out, &it->second);
     }
     for (const auto& [name, peer] : peers_) round_.push_back(name);
     std::shuffle(round_.begin(), round_.end(), random_);
@@ -120,6 +193,7 @@
 
 void Swim::Set(Time now, Peer& peer, wire::Member::State state) {
   peer.member.set_state(state);
+  if (state != wire::Member::SUSPECT) peer.accusers.clear();
   peer.changed = now;
   Tell(peer.member.name());
 }
@@ -136,6 +210,7 @@
     if (member.state() != wire::Member::ALIVE && self_.state() == wire::Member::ALIVE &&
         member.incarnation() >= self_.incarnation()) {
       self_.set_incarnation(member.incarnation() + 1);
+      Doubt(1);  // it was not heard in time
     }
     return;
   }
@@ -152,14 +227,44 @@
       member.incarnation() == peer.member.incarnation() && member.state() > peer.member.state();
   const bool back = directly && peer.member.state() != wire::Member::ALIVE &&
                     peer.member.state() != wire::Member::LEFT && member.state() == wire::Member::ALIVE;
+  const bool confirms = member.state() == wire::Member::SUSPECT && !later_life && member.accuser() != 0 &&
+                        peer.member.state() == wire::Member::SUSPECT &&
+                        member.incarnation() == peer.member.incarnation();
+  if (confirms && peer.accusers.insert(member.accuser()).second) {
+    peer.member.set_accuser(member.accuser());
+    return Tell(member.name());
+  }
   if (!later_life && !newer && !worse && !back) return;
   const bool moved = fresh || peer.member.state() != member.state() || later_life;
   peer.member = member;
+  peer.accusers.clear();
+  if (member.state() == wire::Member::SUSPECT && member.accuser() != 0) {
+    peer.accusers.insert(member.accuser());
+  }
   if (moved) peer.changed = now;
   Tell(member.name());
 }
 
+// Those in reach, by their lives, which are drawn by chance: the sum of what each is mixed to is a digest
+// that needs no order.
+void Swim::Look(Time now) {
+  const auto mixed = [](std::uint64_t x) {  // the finalizer of splitmix64 (Steele, Lea, Flood, 2014)
+    x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ull;
+    x = (x ^ (x >> 27)) * 0x94D049BB133111EBull;
+    return x ^ (x >> 31);
+  };
+  std::uint64_t digest = mixed(self_.life());
+  std::size_t count = 1;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.member.state() != wire::Member::ALIVE) continue;
+    digest += mixed(peer.member.life());
+    ++count;
+  }
+  standing_.Saw(now, digest, count);
+}
+
 void Swim::Take(Time now, const std::string& from, const wire::Packet& packet, std::vector<Out>& out) {
+  now_ = now;
   Heard(now, packet.sender(), true);
   for (const wire::Member& rumour : packet.rumours()) Heard(now, rumour, false);
   if (packet.has_ack()) {
@@ -168,7 +273,12 @@
       if (it != peers_.end() && it->second.member.state() == wire::Member::SUSPECT) {
         Set(now, it->second, wire::Member::ALIVE);
       }
+      // One that a helper passed on tells nothing of what the asked stands by.
+      if (packet.sender().name() == probe_->name) {
+        standing_.Answered(probe_->name, probe_->sent, packet.declares());
+      }
       probe_.reset();
+      Doubt(-1);
     }
     const auto relay = relays_.find(packet.ack().nonce());
     if (relay != relays_.end()) {
@@ -179,6 +289,7 @@
       out.push_back(std::move(ack));
     }
   }
+  if (packet.has_nack() && probe_ && packet.nack().nonce() == probe_->nonce) ++probe_->nacks;
   if (packet.has_ping()) {
     // Who is thought ill of hears it with the answer, and can speak up.
     const auto it = peers_.find(packet.sender().name());
@@ -190,7 +301,8 @@
   }
   if (packet.has_ping_for()) {
     const std::uint64_t nonce = random_();
-    relays_[nonce] = {from, packet.ping_for().nonce(), now + options_.period};
+    relays_[nonce] = {from, packet.ping_for().nonce(), now + options_.period,
+                      now + options_.period * kNackAfter / 10};
     Ping(packet.ping_for().address(), nonce, out);
   }
 }
--- a/src/peers/swim.h
+++ b/src/peers/swim.h
@@ -1,5 +1,7 @@
 // Which other instances there are: SWIM (Das, Gupta, Motivala: SWIM, DSN 2002) with suspicion and
-// incarnations.
+// incarnations, and what Lifeguard adds (Dadgar, Phillips, Currey: "Lifeguard: Local Health Awareness for
+// More Accurate Failure Detection", 2018): an instance that may itself be slow or cut off waits longer before
+// it accuses, and an accusation that nobody confirms waits longer before it counts.
 //
 // Owns the table of members and what is to be told of them; free of sockets and clocks. Every period one
 // member is pinged, in a shuffled round; who does not answer in time is asked for by others, then suspected,
@@ -11,10 +13,12 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "balance.h"
+#include "members/standing.h"
 #include "peers/peers.pb.h"
 
 namespace lynxgrade::peers {
@@ -30,11 +34,17 @@
     Duration period{200000};     // one probe each
     int indirect = 3;            // members asked to ping one that does not answer
     double suspicion = 3;        // periods times log10 of the number of members, at least this many
+    double unconfirmed = 6;      // times that, until others have confirmed it; 1: Lifeguard's part is off
+    int confirmations = 3;       // others that say so too, after which nothing is added
+    int most_doubt = 8;          // periods and waits are longer by up to so many times; 0: off
+    std::size_t size = 1;        // of the fleet, this instance included
+    int proof_rounds = 3;        // for which an answer proves what its sender stood by; each pings all once
     Duration forget{600000000};  // dead and left members, after so long
   };
   struct Peer {
     wire::Member member;
     Time changed{};  // its state, here
+    std::set<std::uint64_t> accusers;  // lives that suspect it by themselves
   };
 
   // `self` names this life; `seeds` are addresses to join by.
@@ -55,6 +65,12 @@
   const std::vector<std::string>& unheard_seeds() const { return unheard_; }
   // An older life of the same name still speaks: two instances share a name.
   std::uint64_t conflicts() const { return conflicts_; }
+  // How far this instance doubts itself: 0, or by how many times its periods and waits are longer.
+  int doubt() const { return doubt_; }
+  // How often it found that it had stood still, and what it then took back or put off.
+  std::uint64_t stalls() const { return stalls_; }
+  // How large a part of the fleet this instance is with, at a clock time not before the last call's.
+  members::Standing::Value StandingAt(Time now) { return standing_.At(now); }
 
  private:
   static constexpr int kRumoursAPacket = 6;
@@ -64,20 +80,34 @@
     std::uint64_t nonce = 0;
     Time sent{};
     bool asked = false;
+    int helpers = 0;  // asked, of those that say when they had no answer either
+    int nacks = 0;
   };
   struct Relay {
     std::string address;
     std::uint64_t nonce = 0;
     Time until{};
+    Time nack_at{};
+    bool nacked = false;
   };
 
   void Heard(Time now, const wire::Member& member, bool directly);
   void Set(Time now, Peer& peer, wire::Member::State state);
   void Tell(const std::string& name);
-  void EndProbe(Time now, std::vector<Out>& out);
+  void EndProbe(Time now);
+  // Nothing that fell due while the process stood still is held against anybody.
+  void StoodStill(Time now, Duration stall);
+  void Doubt(int by);
+  // How long a suspicion waits before it counts.
+  Duration Patience(const Peer& peer) const;
+  void NackRelays(Time now, std::vector<Out>& out);
   void BeginProbe(Time now, std::vector<Out>& out);
-  void Ping(const std::string& address, std::uint64_t nonce, std::vector<Out>& out);
+  // `about`: a member whose news goes with it in any case; the pinged one, where it is thought ill of.
+  void Ping(const std::string& address, std::uint64_t nonce, std::vector<Out>& out,
+            const Peer* about = nullptr);
   std::size_t Living() const;
+  void Look(Time now);
+  void PingDead(Time now, std::vector<Out>& out);
 
   Options options_;
   wire::Member self_;
@@ -90,8 +120,13 @@
   std::map<std::uint64_t, Relay> relays_;
   Time next_{};
   std::size_t next_seed_ = 0;
-  std::uint64_t periods_ = 0;
+  Time next_dead_{};
   std::uint64_t conflicts_ = 0;
+  int doubt_ = 0;
+  Time now_{};
+  Time ticked_{};
+  members::Standing standing_;
+  std::uint64_t stalls_ = 0;
 };
 
 }  // namespace lynxgrade::peers
--- a/src/setup.cpp
+++ b/src/setup.cpp
@@ -164,6 +164,7 @@
 void ReadPeers(const toml::table& root, const session::Options& sessions, PeersSetup& peers) {
   Section section(root, "peers");
   peers.listen = section.Address("listen");
+  peers.advertise = section.Address("advertise");
   section.Text("name", peers.name);
   section.Addresses("seeds", peers.seeds);
   section.Text("key_file", peers.key_file);
@@ -173,6 +174,7 @@
   section.Close();
   if (!peers.listen) {
     if (!peers.seeds.empty()) section.Refuse("seeds", "name others, but 'peers.listen' names no address");
+    if (peers.advertise) section.Refuse("advertise", "names an address, but 'peers.listen' names none");
     return;
   }
   if (sessions.scope != session::Scope::kEverywhere) {
--- a/src/setup.h
+++ b/src/setup.h
@@ -25,6 +25,7 @@
 // The exchange with the other instances; off where no address is named.
 struct PeersSetup {
   std::optional<net::Address> listen;
+  std::optional<net::Address> advertise;  // where others reach it; where it listens if absent
   std::string name;  // of this instance; as in the platform's configuration where empty
   std::vector<net::Address> seeds;
   std::string key_file;
