Load the exchange with other instances only where the settings ask for it

Seen at rest with [peers] off: libprotobuf-lite and libcrypto in the maps (10 mappings), 404 KB of libcrypto's and 16 KB of protobuf's pages written by relocation, 1,000 KB of its own in all and 10.6 MB resident. At fault: lynxgrade_pooler linked lynxgrade_peers. Ruled out: the heap (120 KB before and after) and GLib, spdlog and toml++ (the same in both).

Now peers::Peers, Exchange, Swim and the envelope are a module beside the program, loaded by peers::Load with [peers] alone and known to the pooler as peers::Service. Where it cannot be loaded the start ends with one sentence.

--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -1,5 +1,6 @@
 #include "peers/peers.h"
 
+#include <gmodule.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -24,16 +25,15 @@
 
 }  // namespace
 
-Peers::Peers(net::Loop& loop, const PeersSetup& setup, const std::string& name, bool recovered,
-             session::Keeper& keeper, std::function<void()> learnt)
-    : loop_(loop),
-      setup_(setup),
-      name_(setup.name.empty() ? name : setup.name),
-      recovered_(recovered),
-      keeper_(keeper),
-      learnt_(std::move(learnt)),
-      tick_(loop),
-      complaints_(loop) {}
+Peers::Peers(Parts parts)
+    : loop_(parts.loop),
+      setup_(parts.setup),
+      name_(setup_.name.empty() ? parts.name : setup_.name),
+      recovered_(parts.recovered),
+      keeper_(parts.keeper),
+      learnt_(std::move(parts.learnt)),
+      tick_(loop_),
+      complaints_(loop_) {}
 
 Peers::~Peers() {
   if (socket_ != nullptr) loop_.poller().Remove(g_socket_get_fd(socket_.get()));
@@ -165,3 +165,8 @@
 }
 
 }  // namespace lynxgrade::peers
+
+// The module's one door: peers/load.cpp calls it.
+extern "C" G_MODULE_EXPORT lynxgrade::peers::Service* lynxgrade_make_peers(lynxgrade::peers::Parts* parts) {
+  return new lynxgrade::peers::Peers(std::move(*parts));
+}
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -11,32 +11,26 @@
 #include "net/loop.h"
 #include "peers/envelope.h"
 #include "peers/exchange.h"
+#include "peers/service.h"
 #include "setup.h"
 
 namespace lynxgrade::peers {
 
-class Peers final : private net::Poller::Handler {
+class Peers final : public Service, private net::Poller::Handler {
  public:
-  // `learnt` is called whenever the keeper may have learnt something.
-  Peers(net::Loop& loop, const PeersSetup& setup, const std::string& name, bool recovered,
-        session::Keeper& keeper, std::function<void()> learnt);
-  ~Peers();
+  explicit Peers(Parts parts);
+  ~Peers() override;
   Peers(const Peers&) = delete;
   Peers& operator=(const Peers&) = delete;
 
-  // Empty, or what keeps it from starting.
-  std::string Start();
-  // Reads the keys again; a file that cannot be used is logged, and the old ones stay.
-  void ReloadKeys();
-  void Wrote(GroupId group, session::Key key, const session::Mark& mark) {
+  std::string Start() override;
+  void ReloadKeys() override;
+  void Wrote(GroupId group, session::Key key, const session::Mark& mark) override {
     exchange_->Wrote(group, key, mark);
   }
-  // A read waits for word from the others.
-  void Solicit();
-  // Whether the others count this instance, so that it may answer writes; also when they had time enough to.
-  bool Ready() const;
-  // Tells the others the last marks and that this instance leaves.
-  void Leave();
+  void Solicit() override;
+  bool Ready() const override;
+  void Leave() override;
   const Exchange& exchange() const { return *exchange_; }
   std::uint64_t dropped() const { return dropped_; }
 
--- /dev/null
+++ b/src/peers/service.h
@@ -0,0 +1,44 @@
+// What the pooler asks of the exchange with the other instances. The exchange itself is a module that is
+// loaded where the settings ask for it: its libraries cost memory, and most poolers run without.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "net/loop.h"
+#include "session/keeper.h"
+#include "setup.h"
+
+namespace lynxgrade::peers {
+
+class Service {
+ public:
+  virtual ~Service() = default;
+  // Empty, or what keeps it from starting.
+  virtual std::string Start() = 0;
+  // Reads the keys again; a file that cannot be used is logged, and the old ones stay.
+  virtual void ReloadKeys() = 0;
+  virtual void Wrote(GroupId group, session::Key key, const session::Mark& mark) = 0;
+  // A read waits for word from the others.
+  virtual void Solicit() = 0;
+  // Whether the others count this instance, so that it may answer writes; also when they had time enough to.
+  virtual bool Ready() const = 0;
+  // Tells the others the last marks and that this instance leaves.
+  virtual void Leave() = 0;
+};
+
+struct Parts {
+  net::Loop& loop;
+  const PeersSetup& setup;
+  const std::string& name;  // of this instance, as in the platform's configuration
+  bool recovered = false;   // the keeper knows all that earlier lives of this instance answered
+  session::Keeper& keeper;
+  std::function<void()> learnt;  // called whenever the keeper may have learnt something
+};
+
+// Loads the module, which stands beside the program, and makes its one service; or why it cannot be had.
+std::variant<std::unique_ptr<Service>, std::string> Load(Parts parts);
+
+}  // namespace lynxgrade::peers
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -115,8 +115,10 @@
   }
   keeper.Started(now, known_to);
   if (setup_.peers.listen) {
-    peers_ = std::make_unique<peers::Peers>(loop_, setup_.peers, config_.name, recovered, keeper,
-                                            [this] { proxy_.Relearnt(); });
+    auto loaded = peers::Load(
+        {loop_, setup_.peers, config_.name, recovered, keeper, [this] { proxy_.Relearnt(); }});
+    if (const auto* wrong = std::get_if<std::string>(&loaded)) return *wrong;
+    peers_ = std::move(std::get<std::unique_ptr<peers::Service>>(loaded));
     const std::string fault = peers_->Start();
     if (!fault.empty()) return fault;
   }
--- a/src/pooler.h
+++ b/src/pooler.h
@@ -12,7 +12,7 @@
 #include "front/front.h"
 #include "net/budget.h"
 #include "net/loop.h"
-#include "peers/peers.h"
+#include "peers/service.h"
 #include "proxy/proxy.h"
 #include "setup.h"
 #include "state/store.h"
@@ -52,7 +52,7 @@
   proxy::Proxy proxy_;
   front::Front front_;
   std::unique_ptr<state::Store> store_;
-  std::unique_ptr<peers::Peers> peers_;
+  std::unique_ptr<peers::Service> peers_;
   std::optional<discovery::Watch> watch_;
   net::Timer report_;
   net::Timer list_late_;
