--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -779,6 +779,33 @@
   CHECK(peers.back()->Saw("since=41 "));
 }
 
+TEST_CASE("discovery whose connections are refused is logged once an episode, and requests are served on") {
+  World w;
+  w.Serve(kAnswer);
+  w.List();
+  std::uint16_t closed = 0;
+  {
+    net::Listener gone(
+        w.loop, [] { return true; }, [](net::ObjectPtr<GSocket>) {});
+    REQUIRE(gone.Open({"127.0.0.1", 0}).empty());
+    closed = gone.port();
+  }
+  discovery::RosterReader reader({"a"});
+  const Logged logged;
+  discovery::Watch watch(w.loop, {"127.0.0.1", closed}, reader, 41, 1, {},
+                         [](const discovery::RosterChange&) {});
+  watch.Start();
+  std::set<Time> calls;  // each time for which a call is put off
+  w.Until([&] {
+    if (watch.calls_at()) calls.insert(*watch.calls_at());
+    return calls.size() >= 4;
+  });
+  Peer& client = w.Client({Ask("any")});
+  w.Until([&] { return client.Types().ends_with("TDCZ"); });
+  CHECK(logged.Count("watching anew") == 1);
+  CHECK_FALSE(watch.heard());
+}
+
 // The program itself, on a port that was free a moment ago.
 struct Program {
   explicit Program(World& world) : world(world) {
