Take in a life whose clock is behind; of two of one name the older stands aside

Seen in virtual time: an instance that began again with a clock an hour behind was never taken in. Change: an answer counts for the life that was asked; a life that hears that one of its name which started later is over takes a later start. One that hears that such a one runs stands by no view, and both are counted and logged. Tests fail without either.

--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -106,6 +106,7 @@
   exchange_->Tick(loop_.Precise(), out_);
   Flush();
   TellPart();
+  TellConflict();
   if (learnt_) learnt_();
   tick_.After(kTick, [this] { Tick(); });
 }
@@ -122,6 +123,16 @@
                1 + setup_.seeds.size(), value.view);
 }
 
+void Peers::TellConflict() {
+  const std::uint64_t conflicts = exchange_->swim().conflicts();
+  std::uint64_t left_out = 0;
+  if (conflicts == conflicts_ || !complaints_.Allows(left_out)) return;
+  conflicts_ = conflicts;
+  spdlog::warn(
+      "peers: two running instances share a name, heard {} times; the one that started first stands aside",
+      conflicts);
+}
+
 std::string Peers::Describe() const {
   const Time now = loop_.Precise();
   const Swim& swim = exchange_->swim();
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -45,6 +45,8 @@
   void Tick();
   // Says how large a part of the fleet this instance is with, where that has changed.
   void TellPart();
+  // That two instances share a name, which nobody can mend but the operators.
+  void TellConflict();
   void Flush();
 
   net::Loop& loop_;
@@ -62,6 +64,7 @@
   members::Part part_ = members::Part::kInDoubt;
   Time started_{};
   std::uint64_t dropped_ = 0;
+  std::uint64_t conflicts_ = 0;  // as last said
 };
 
 }  // namespace lynxgrade::peers
--- a/src/peers/swim.cpp
+++ b/src/peers/swim.cpp
@@ -261,10 +261,7 @@
 void Swim::Heard(Time now, const wire::Member& member, bool directly) {
   if (member.name().empty()) return;
   if (member.name() == self_.name()) {
-    if (member.life() != self_.life()) {
-      if (directly || member.started_us() > self_.started_us()) ++conflicts_;
-      return;
-    }
+    if (member.life() != self_.life()) return MetNamesake(now, member, directly);
     if (member.state() != wire::Member::ALIVE && self_.state() == wire::Member::ALIVE &&
         member.incarnation() >= self_.incarnation()) {
       self_.set_incarnation(member.incarnation() + 1);
@@ -332,6 +329,20 @@
   standing_.Saw(now, digest, lives);
 }
 
+// Another life of this instance's name. Of two that run the one that started later stays; the other stands by
+// nothing as long as it hears of that. One that is over and is said to have started later had another clock:
+// this one takes a later start, or its word would never count.
+void Swim::MetNamesake(Time now, const wire::Member& member, bool directly) {
+  if (member.started_us() < self_.started_us()) {
+    conflicts_ += directly;
+  } else if (member.state() >= wire::Member::DEAD) {
+    self_.set_started_us(member.started_us() + 1);
+  } else {
+    ++conflicts_;
+    standing_.StoodStill(now);
+  }
+}
+
 void Swim::TakeWords(const wire::Packet& packet) {
   standing_.Answered(packet.sender().life(), probe_->sent, packet.stands() ? packet.view() : 0);
   standing_.Told(probe_->sent, packet.view(), packet.ages());
@@ -421,8 +432,11 @@
   }
   for (const wire::Member& rumour : packet.rumours()) Heard(now, rumour, false);
   if (packet.has_ack()) {
-    if (probe_ && packet.ack().nonce() == probe_->nonce) {
-      const auto it = peers_.find(probe_->name);
+    const auto it = probe_ ? peers_.find(probe_->name) : peers_.end();
+    // At the address of one that has ended another life of its name may answer: not for it.
+    const bool other_life = it != peers_.end() && packet.sender().name() == probe_->name &&
+                            packet.sender().life() != it->second.member.life();
+    if (probe_ && !other_life && packet.ack().nonce() == probe_->nonce) {
       if (it != peers_.end() && it->second.member.state() == wire::Member::SUSPECT) {
         Set(now, it->second, wire::Member::ALIVE);
       }
@@ -431,7 +445,9 @@
       Doubt(-1);
     }
     const auto relay = relays_.find(packet.ack().nonce());
-    if (relay != relays_.end()) {
+    // Nor is it passed on as the word of the life that is known here.
+    const bool of_another = sender != peers_.end() && sender->second.member.life() != packet.sender().life();
+    if (relay != relays_.end() && !of_another) {
       Out ack{relay->second.address, {}};
       ack.packet.mutable_ack()->set_nonce(relay->second.nonce);
       ack.packet.set_ages(standing_.Ages(now, relay->second.view));
--- a/src/peers/swim.h
+++ b/src/peers/swim.h
@@ -70,7 +70,7 @@
   const std::map<std::string, Peer>& peers() const { return peers_; }
   // Seeds at whose address nobody has been heard.
   const std::vector<std::string>& unheard_seeds() const { return unheard_; }
-  // An older life of the same name still speaks: two instances share a name.
+  // How often two lives of one name were heard of that both run: two instances share it.
   std::uint64_t conflicts() const { return conflicts_; }
   // How far this instance doubts itself: 0, or by how many times its periods and waits are longer.
   int doubt() const { return doubt_; }
@@ -110,6 +110,7 @@
   };
 
   void Heard(Time now, const wire::Member& member, bool directly);
+  void MetNamesake(Time now, const wire::Member& member, bool directly);
   void Set(Time now, Peer& peer, wire::Member::State state);
   void Tell(const std::string& name);
   void EndProbe(Time now);
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -48,11 +49,12 @@
 
   static std::string Address(std::size_t i) { return "a" + std::to_string(i); }
 
-  void Begin(std::size_t i) {
+  // `clock`: by how much its own is off; `named`: as another, by mistake.
+  void Begin(std::size_t i, Duration clock = {}, std::optional<std::size_t> named = {}) {
     wire::Member self;
-    self.set_name("n" + std::to_string(i));
+    self.set_name("n" + std::to_string(named.value_or(i)));
     self.set_life(random() | 1);
-    self.set_started_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    self.set_started_us(static_cast<std::uint64_t>((now + clock).time_since_epoch().count()));
     self.set_address(Address(i));
     std::vector<std::string> seeds;
     for (std::size_t j = 0; j < nodes.size(); ++j) seeds.push_back(Address(j));
@@ -483,6 +485,36 @@
 }
 TEST_CASE("curve at 300" * doctest::skip()) { Mean(300, 0, 1); }
 
+TEST_CASE("a life that begins anew with a clock an hour behind is taken in again") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    World w(5, seed);
+    w.Pass(kSecond * 15);
+    REQUIRE(w.All(Numbers(0, 5), Part::kWhole));
+    w.Begin(2, -kSecond * 3600);  // at once, while the others still hold its last life for alive
+    w.Pass(kSecond * 30);
+    CHECK(w.All(Numbers(0, 5), Part::kWhole));
+    for (const std::size_t i : {0, 1, 3, 4}) {
+      CHECK(w.nodes[i]->peers().at("n2").member.life() == w.nodes[2]->self().life());
+    }
+  }
+}
+
+TEST_CASE("of two that run under one name the one that started first stands aside, and it is counted") {
+  World w(6, 3);
+  w.Pass(kSecond * 2);
+  w.Begin(5, {}, 1);  // a second n1, later
+  w.Pass(kSecond * 20);
+  for (const std::size_t i : {0, 2, 3, 4}) {
+    CHECK(w.nodes[i]->peers().at("n1").member.life() == w.nodes[5]->self().life());
+    CHECK(w.nodes[i]->conflicts() > 0);
+  }
+  CHECK(w.nodes[1]->conflicts() > 0);
+  CHECK(w.PartOf(1) == Part::kInDoubt);
+  CHECK(w.PartOf(0) == Part::kSomeMissing);  // five of the six that the settings name
+  CHECK(w.figures.two_majorities == 0);
+}
+
 TEST_CASE("standing: nothing is proven at first, and what was proven lapses by itself") {
   const auto at = [](int ms) { return Time(Duration(std::int64_t{ms} * 1000)); };
   const std::vector<std::uint64_t> two{1, 2}, alone{1};
