--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -74,6 +74,7 @@
     options.swim.most_doubt = 0;
     options.swim.unconfirmed = 1;
     options.swim.ask_lately = 0;
+    options.swim.repeat = false;
     options.swim.proven = false;
     spdlog::warn("peers: members are plain: two parts may both hold themselves for the larger");
   }
--- a/src/peers/swim.cpp
+++ b/src/peers/swim.cpp
@@ -90,23 +90,7 @@
   ticked_ = now;
   Look(now);
   NackRelays(now, out);
-  if (probe_ && !probe_->asked && now - probe_->sent >= options_.period / kAckPart * (doubt_ + 1)) {
-    probe_->asked = true;
-    std::vector<const Peer*> others;
-    for (const auto& [name, peer] : peers_) {
-      if (name != probe_->name && peer.member.state() == wire::Member::ALIVE) others.push_back(&peer);
-    }
-    std::shuffle(others.begin(), others.end(), random_);
-    const std::string target = peers_[probe_->name].member.address();
-    for (std::size_t i = 0; i < others.size() && i < static_cast<std::size_t>(options_.indirect); ++i) {
-      probe_->helpers += others[i]->member.speaks() >= kSpeaks;
-      Out ask{others[i]->member.address(), {}};
-      ask.packet.mutable_ping_for()->set_address(target);
-      ask.packet.mutable_ping_for()->set_nonce(probe_->nonce);
-      Dress(ask.packet);
-      out.push_back(std::move(ask));
-    }
-  }
+  PressProbe(now, out);
   PingDead(now, out);
   AskAccused(now, out);
   if (now < next_) return;
@@ -131,6 +115,38 @@
   if (!unheard_.empty()) Ping(unheard_[next_seed_++ % unheard_.size()], random_(), out);
 }
 
+void Swim::PressProbe(Time now, std::vector<Out>& out) {
+  const auto probed = probe_ ? peers_.find(probe_->name) : peers_.end();
+  if (probed == peers_.end()) return;
+  const Duration part = options_.period / kAckPart * (doubt_ + 1);
+  const Duration waited = now - probe_->sent;
+  const bool ask = !probe_->asked && waited >= part;
+  const bool repeat = options_.repeat && (ask || (!probe_->repeated && waited >= part * 2));
+  const Peer& target = probed->second;
+  const std::string address = target.member.address();
+  if (repeat) {
+    // With three in ten packets lost half of all pings fail, and helpers' as well: at 64 instances the news
+    // of suspicions alone was more than packets hold.
+    probe_->repeated = !ask;
+    Ping(address, probe_->nonce, out, &target);
+  }
+  if (!ask) return;
+  probe_->asked = true;
+  std::vector<const Peer*> others;
+  for (const auto& [name, peer] : peers_) {
+    if (name != probe_->name && peer.member.state() == wire::Member::ALIVE) others.push_back(&peer);
+  }
+  std::shuffle(others.begin(), others.end(), random_);
+  for (std::size_t i = 0; i < others.size() && i < static_cast<std::size_t>(options_.indirect); ++i) {
+    probe_->helpers += others[i]->member.speaks() >= kSpeaks;
+    Out request{others[i]->member.address(), {}};
+    request.packet.mutable_ping_for()->set_address(address);
+    request.packet.mutable_ping_for()->set_nonce(probe_->nonce);
+    Dress(request.packet);
+    out.push_back(std::move(request));
+  }
+}
+
 void Swim::PingDead(Time now, std::vector<Out>& out) {
   if (now < next_dead_) return;
   next_dead_ = now + options_.period * kDeadEvery;
--- a/src/peers/swim.h
+++ b/src/peers/swim.h
@@ -39,6 +39,7 @@
     // Periods: whoever was heard that lately is asked before it is held dead. So few of a large fleet that
     // asking them is no storm; 0: off.
     int ask_lately = 15;
+    bool repeat = true;    // a ping that is not answered is sent again, twice within its period
     int most_doubt = 8;    // periods and waits are longer by up to so many times; 0: off
     std::size_t size = 1;  // of the fleet, this instance included
     // What an answer proves of its sender counts for so many times as long as words take to reach all.
@@ -97,6 +98,7 @@
     std::uint64_t nonce = 0;
     Time sent{};
     bool asked = false;
+    bool repeated = false;
     int helpers = 0;  // asked, of those that say when they had no answer either
     int nacks = 0;
   };
@@ -113,6 +115,8 @@
   void MetNamesake(Time now, const wire::Member& member, bool directly);
   void Set(Time now, Peer& peer, wire::Member::State state);
   void Tell(const std::string& name);
+  // Asks others for the one that does not answer, and asks it again.
+  void PressProbe(Time now, std::vector<Out>& out);
   void EndProbe(Time now);
   // Nothing that fell due while the process stood still is held against anybody.
   void StoodStill(Time now, Duration stall);
