--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -7,7 +7,6 @@
 #include <exception>
 
 #include "data_servers.h"
-#include "exchange_run.h"
 #include "members_run.h"
 #include "pooler_process.h"
 #include "sessions_run.h"
@@ -80,14 +79,6 @@
       ->check(CLI::IsMember({"calm", "restart_disk", "restart_bare", "promotion", "rotation"}));
   of_sessions->add_option("--json", sessions.json, "also write the figures to this file");
   of_sessions->add_flag("--logs", sessions.keep_logs, "keep the poolers' logs and say where");
-  ExchangeOptions exchange;
-  CLI::App* of_exchange = run->add_subcommand("exchange", "the exchange between instances, in virtual time");
-  of_exchange->add_option("--seed", exchange.seed, "for all that is drawn");
-  of_exchange->add_option("--sizes", exchange.sizes, "numbers of instances")->check(CLI::Range(2, 256));
-  of_exchange->add_option("--losses", exchange.losses, "per cent of datagrams lost")
-      ->check(CLI::Range(0, 90));
-  of_exchange->add_option("--seconds", exchange.seconds, "measured")->check(CLI::Range(0.1, 60.0));
-  of_exchange->add_option("--json", exchange.json, "also write the figures to this file");
   MembersOptions members;
   CLI::App* of_members =
       run->add_subcommand("members", "which part of the fleet each process is with, over relays that cut");
@@ -109,7 +100,7 @@
   if (of_members->parsed()) return RunMembers(members);
   sessions.pooler = pooler;
   if (up->parsed()) return Up(pooler);
-  return of_exchange->parsed() ? RunExchange(exchange) : RunSessions(sessions);
+  return RunSessions(sessions);
 }
 
 }  // namespace
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -117,6 +117,7 @@
 
 constexpr GroupId kGroup{1};
 constexpr Duration kTick{5000};
+constexpr std::size_t kHeads = 18 + 28;  // the envelope, UDP and IPv4
 
 Settings SessionSettings() {
   Settings settings;
@@ -168,6 +169,7 @@
   void Send(std::size_t from, std::vector<Out>& outs) {
     for (Out& out : outs) {
       const auto to = static_cast<std::size_t>(std::atoi(out.address.c_str() + 1));
+      bytes += out.packet.ByteSizeLong() + kHeads;
       if (cut.contains({from, to}) || to >= nodes.size()) continue;
       for (int copy = random() % 10 == 0 ? 2 : 1; copy > 0; --copy) {
         if (static_cast<int>(random() % 100) < loss) continue;
@@ -253,7 +255,7 @@
   std::priority_queue<Datagram, std::vector<Datagram>, std::greater<>> wire;
   std::set<std::pair<std::size_t, std::size_t>> cut;
   std::vector<std::tuple<int, session::Key, Time>> written;
-  std::uint64_t order = 0, lives = 100, sessions = 0;
+  std::uint64_t order = 0, lives = 100, sessions = 0, bytes = 0;
   int wrongly_covered = 0;
 };
 
@@ -280,6 +282,41 @@
   }
 }
 
+// By hand: how long until a write is covered at each other instance, and what each sends meanwhile.
+TEST_CASE("exchange: curves" * doctest::skip()) {
+  for (const int count : {3, 16, 64}) {
+    for (const int loss : {0, 5, 30}) {
+      Net net(count, loss);
+      net.Pass(kSecond * 3);
+      net.bytes = 0;
+      std::vector<double> took;
+      for (int i = 0; i < 20; ++i) {
+        const Time at = net.now;
+        const std::string by = "n" + std::to_string(i % count);
+        net.Write(i % count);
+        std::set<int> waiting;
+        for (int of = 0; of < count; ++of) waiting.insert(of);
+        waiting.erase(i % count);
+        while (!waiting.empty()) {
+          net.Pass(kTick);
+          std::erase_if(waiting, [&](int of) {
+            const auto covered = net.nodes[static_cast<std::size_t>(of)]->exchange->Covered();
+            if (!covered.contains(by) || covered.at(by) <= at) return false;
+            took.push_back(1e-3 * static_cast<double>((net.now - at).count()));
+            return true;
+          });
+        }
+      }
+      std::ranges::sort(took);
+      const double seconds =
+          1e-6 * static_cast<double>((net.now - Time(Duration(1'700'000'003'000'000))).count());
+      MESSAGE(count, " instances, ", loss, " % lost: covered after ", took[took.size() / 2], " ms, p99 ",
+              took[took.size() * 99 / 100], " ms; ", static_cast<double>(net.bytes) / seconds / count,
+              " bytes a second each");
+    }
+  }
+}
+
 TEST_CASE("exchange: a seed that was never heard counts as not covered") {
   Net net(1);
   net.Pass(kSecond * 2);
