Open a silent watch anew in time; take lists over several lines; ask again for spoilt ones

An agent silent while discovery is down binds at once at its return: 3 s + 1.2 s > 2 s. - An answer of no length that ended was dropped without a newline at its end; a reset is still no end. - The list's 'replication' was not read at all; a boot_ms beyond all time overflowed. Ruled out: a list whose version goes back (taken whole since long ago), half a list at a reset (was dropped before too).

--- a/src/discovery/roster.cpp
+++ b/src/discovery/roster.cpp
@@ -9,6 +9,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::int64_t kMostMs = std::int64_t{1} << 50;  // of a Unix time: later ones would overflow in us
+
 const Json* Find(const Json& object, const char* name) {
   const auto it = object.find(name);
   return it == object.end() || it->is_null() ? nullptr : &*it;
@@ -98,8 +100,9 @@
   target.entry.zone = ZoneOf(Text(json, "az"));
   const Json* weight = Find(json, "capacity_hint");
   if (weight != nullptr && weight->is_number()) target.entry.weight = weight->get<double>();
+  target.entry.primary = Text(json, "replication") == "primary";
   const std::int64_t started = Whole(json, "boot_ms").value_or(0);
-  if (started > 0) target.entry.started = Time(std::chrono::milliseconds(started));
+  if (started > 0 && started <= kMostMs) target.entry.started = Time(std::chrono::milliseconds(started));
   target.entry.member = IdOf(target.uid);
   return target;
 }
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -5,14 +5,6 @@
 namespace lynxgrade::discovery {
 namespace {
 
-constexpr Duration kConnectWithin{1000000};
-constexpr Duration kHeadWithin{3000000};
-constexpr Duration kLineWithin{5000000};  // an empty line is due every 2 s
-// Waits between calls: one instance's first is up to this; each further instance widens it, so that all
-// together make about fifty calls a second in the first round and twelve from the fourth on.
-constexpr Duration kFirstPause{150000};
-constexpr Duration kSpacing{20000};
-constexpr std::size_t kMostLine = 4 << 20;
 constexpr std::size_t kRing = 64 * 1024;
 
 }  // namespace
@@ -28,7 +20,8 @@
       changed_(std::move(changed)),
       deadline_(loop),
       again_(loop),
-      backoff_(callers.shared ? callers.instances : 1, kFirstPause, kSpacing) {}
+      waits_(callers.shared, callers.instances, callers.grace),
+      heard_at_(loop.Now()) {}
 
 Watch::~Watch() {
   if (connection_ != nullptr) connection_->Close();
@@ -39,24 +32,27 @@
 // Spreading calls that cost nobody anything made 300 instances wait up to 6 s after a start, and send to
 // members that their agents had long known to drain.
 void Watch::CallFirst() {
-  const Duration wait = callers_.shared ? backoff_.Spread(Chance(), callers_.first_within) : Duration{0};
+  // Half of the grace at most: the rest is for the answer, or a retry.
+  const Duration wait = callers_.shared ? waits_.First(Chance(), callers_.grace / 2) : Duration{0};
   again_.After(wait, [this] { Call(); });
 }
 
 void Watch::Call() {
-  lines_.clear();
+  text_ = {};
   response_.emplace();
   bool full = false;
   connection_ = net::Connection::Open(loop_, address_, *this, kRing, kRing, &full);
   if (connection_ == nullptr) return Again("no connection to be had");
-  ExpectWithin(kConnectWithin, "no connection in time");
+  // One limit for the whole call, however it spends its time.
+  ExpectWithin(waits_.call(), "no answer in time");
 }
 
 void Watch::MoveTo(const net::Address& address) {
   if (address.host == address_.host && address.port == address_.port) return;
   address_ = address;
   if (connection_ != nullptr) connection_->Close();
-  backoff_.Succeeded();  // the failures were the old address's
+  waits_.Succeeded();  // the failures were the old address's
+  heard_at_ = loop_.Now();
   deadline_.Clear();
   CallFirst();
 }
@@ -69,10 +65,10 @@
   connection_->Write("GET /registry/instances?follow=1&since=" + std::to_string(since_) +
                      " HTTP/1.1\r\nHost: " + address_.host + ":" + std::to_string(address_.port) +
                      "\r\nAccept: application/json\r\n\r\n");
-  ExpectWithin(kHeadWithin, "no answer in time");
 }
 
 void Watch::OnReadable() {
+  const bool head = response_->state() == HttpResponse::State::kHead;
   const std::string_view bytes = connection_->in().All();
   const HttpResponse::State state = response_->Feed(bytes);
   connection_->in().Consume(bytes.size());
@@ -80,42 +76,52 @@
   if (state == HttpResponse::State::kBad) return Again(response_->fault().c_str());
   if (state == HttpResponse::State::kHead) return;
   if (response_->status() != 200) return Again("an answer other than 200");
-  ExpectWithin(kLineWithin, "silent for too long");
-  TakeLines();
-  if (state == HttpResponse::State::kDone) Again("the watch has ended");
+  if (head) ExpectWithin(waits_.silence(), "silent for too long");
+  text_.Feed(response_->TakeBody());
+  if (state == HttpResponse::State::kDone) return Ended();
+  TakePieces();
 }
 
-void Watch::TakeLines() {
-  lines_ += response_->TakeBody();
-  std::size_t from = 0;
-  for (std::size_t end; (end = lines_.find('\n', from)) != std::string::npos; from = end + 1) {
-    TakeLine(lines_.substr(from, end - from));
-  }
-  lines_.erase(0, from);
-  if (lines_.size() > kMostLine) {
-    spdlog::warn("discovery: dropped a line of over {} bytes", kMostLine);
-    lines_.clear();
+// What has come whole; false where the watch is to be opened anew. Only a whole value and an empty line are
+// signs of life: bytes of one that never ends are none.
+bool Watch::TakePieces() {
+  const std::shared_ptr<net::Connection> connection = connection_;
+  while (auto piece = text_.Take()) {
+    std::string wrong = "a list that was cut";
+    std::optional<RosterChange> change;
+    if (piece->kind != ListText::Kind::kCut) wrong.clear();
+    if (piece->kind == ListText::Kind::kValue) change = reader_.Read(piece->text, wrong);
+    if (piece->kind != ListText::Kind::kBlank && !change) {
+      // What it would have told is asked for again: the next change would not bring it.
+      const auto level = waits_.failures() > 0 ? spdlog::level::debug : spdlog::level::warn;
+      spdlog::log(level, "discovery: {}", wrong);
+      Again(wrong.c_str());
+      return false;
+    }
+    if (!wrong.empty()) spdlog::warn("discovery: {}", wrong);
+    waits_.Succeeded();
+    heard_at_ = loop_.Now();
+    ExpectWithin(waits_.silence(), "silent for too long");
+    if (!change) continue;
+    heard_ = true;
+    since_ = change->revision;
+    changed_(*change);
+    if (connection != connection_ || connection->closed()) return false;  // moved from inside
   }
+  return true;
 }
 
-void Watch::TakeLine(const std::string& line) {
-  std::string wrong;
-  std::optional<RosterChange> change;
-  const bool blank = line.find_first_not_of(" \t\r") == std::string::npos;
-  if (!blank) change = reader_.Read(line, wrong);
-  // One that answers and cannot be understood has failed: called again at once, it would be called without
-  // end, by all instances.
-  const auto level = backoff_.failures() > 0 && !change ? spdlog::level::debug : spdlog::level::warn;
-  if (!wrong.empty()) spdlog::log(level, "discovery: {}", wrong);
-  if (!blank && !change) return;
-  backoff_.Succeeded();
-  heard_ = true;
-  if (!change) return;
-  since_ = change->revision;
-  changed_(*change);
+// The answer has come to its end: its last line needs no end of its own.
+void Watch::Ended() {
+  text_.End();
+  if (TakePieces()) Again("the watch has ended");
 }
 
-void Watch::OnPeerDone() { Again("the connection was closed"); }
+// The end of an answer of no stated length; of any other, and of a broken connection, it is none.
+void Watch::OnPeerDone() {
+  if (response_->End() == HttpResponse::State::kDone && response_->status() == 200) return Ended();
+  Again("the connection was closed");
+}
 void Watch::OnBroken() { Again("the connection broke"); }
 
 double Watch::Chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
@@ -124,11 +130,11 @@
 void Watch::Again(const char* why) {
   if (connection_ != nullptr) connection_->Close();
   deadline_.Clear();
-  const Duration wait = backoff_.Next(Chance());
-  if (backoff_.failures() == 1) {
+  const Duration wait = waits_.Next(Chance(), loop_.Now() - heard_at_);
+  if (waits_.failures() == 1) {
     spdlog::info("discovery: {}; watching anew from version {}", why, since_);
   } else {
-    spdlog::debug("discovery: {}, {} times in a row", why, backoff_.failures());
+    spdlog::debug("discovery: {}, {} times in a row", why, waits_.failures());
   }
   again_.After(wait, [this] { Call(); });
 }
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -8,8 +8,9 @@
 #include <string>
 
 #include "discovery/http.h"
+#include "discovery/list_text.h"
 #include "discovery/roster.h"
-#include "fleet/backoff.h"
+#include "fleet/call_waits.h"
 #include "net/connection.h"
 #include "net/loop.h"
 
@@ -24,7 +25,7 @@
   struct Callers {
     bool shared = false;
     std::uint32_t instances = 1;
-    Duration first_within{};  // shared: how long the first call to an address may wait
+    Duration grace{};  // for which a list may be followed after it has counted as told
   };
 
   Watch(net::Loop& loop, net::Address address, RosterReader& reader, std::int64_t since, std::uint64_t seed,
@@ -47,8 +48,8 @@
   void OnPeerDone() override;
   void OnBroken() override;
 
-  void TakeLines();
-  void TakeLine(const std::string& line);
+  bool TakePieces();
+  void Ended();
   void Call();
   void Again(const char* why);
   void CallFirst();
@@ -64,11 +65,11 @@
   Changed changed_;
   std::shared_ptr<net::Connection> connection_;
   std::optional<HttpResponse> response_;
-  std::string lines_;
+  ListText text_;
   net::Timer deadline_;
   net::Timer again_;
-  fleet::Backoff backoff_;
-
+  fleet::CallWaits waits_;
+  Time heard_at_;  // the last sign of life, or the start
   bool heard_ = false;
 };
 
--- a/src/fleet/backoff.cpp
+++ b/src/fleet/backoff.cpp
@@ -15,13 +15,15 @@
 
 }  // namespace
 
-Backoff::Backoff(std::uint32_t instances, Duration least, Duration spacing)
-    : window_(least + spacing * static_cast<std::int64_t>(std::max(1u, instances) - 1)) {}
+Backoff::Backoff(std::uint32_t instances, Duration least, Duration spacing, Duration most)
+    : window_(least + spacing * static_cast<std::int64_t>(std::max(1u, instances) - 1)), most_(most) {}
 
-Duration Backoff::Next(double chance) {
-  return Part(window_ * (1 << std::min(failures_++, kMostDoublings)), chance);
+Duration Backoff::Window(int failures) const {
+  return std::min(most_, window_ * (1 << std::min(failures, kMostDoublings)));
 }
 
+Duration Backoff::Next(double chance) { return Part(Window(failures_++), chance); }
+
 Duration Backoff::Spread(double chance, Duration most) const {
   return Part(std::min(window_, most), chance);
 }
--- a/src/fleet/backoff.h
+++ b/src/fleet/backoff.h
@@ -18,10 +18,15 @@
  public:
   // `instances`: how many try, at least 1; each widens the first window by `spacing`, beside a `least` window
   // that a single one has.
-  Backoff(std::uint32_t instances, Duration least, Duration spacing);
+  // No window is longer than `most`.
+  Backoff(std::uint32_t instances, Duration least, Duration spacing, Duration most = Duration::max());
 
   // The wait after one more failure; `chance` is even in [0, 1).
   Duration Next(double chance);
+  // What the wait after so many failures before is drawn from.
+  Duration Window(int failures) const;
+  // Whether that window would be longer.
+  bool Capped(int failures) const { return Window(failures) == most_; }
   // The wait before a first try that all instances make at the same event, `most` at most; counts as no
   // failure.
   Duration Spread(double chance, Duration most) const;
@@ -30,6 +35,7 @@
 
  private:
   Duration window_;
+  Duration most_;
   int failures_ = 0;
 };
 
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -66,9 +66,8 @@
   if (!no_control.empty()) return no_control;
   proxy_.ListChanged(std::move(first));
   const Settings& settings = config_.settings;
-  // Half of the drain grace at most until the first call: the rest is for the answer, or a retry.
   const discovery::Watch::Callers callers{settings.list_on_request, fleet::Size(settings.peers_total),
-                                          settings.drain_grace / 2};
+                                          settings.drain_grace};
   if (settings.peers_total == 0) {
     spdlog::warn("the settings do not say how many poolers there are (peers_total): taken for {}",
                  fleet::Size(0));
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <random>
 #include <set>
@@ -11,6 +12,7 @@
 
 #include "balance.h"
 #include "fleet/backoff.h"
+#include "fleet/call_waits.h"
 #include "fleet/draw.h"
 #include "fleet/size.h"
 
@@ -18,6 +20,7 @@
 namespace {
 
 using fleet::Backoff;
+using fleet::CallWaits;
 using Micros = fleet::Duration;
 
 constexpr Micros kLeast{150000}, kSpacing{20000};
@@ -95,6 +98,63 @@
   CHECK(Backoff(0, kLeast, kSpacing).Next(0.5) == Micros(75000));
 }
 
+// Who fails at each point, and how late the list is known: a watch that falls silent just after a sign of
+// life, a call that is refused then, one that hangs as discovery comes back. A change counts as told 6 s
+// after discovery had it and could be reached, or at once where an agent has it; the drain grace later
+// nothing may be sent there.
+TEST_CASE("the waits of a watch add up to less than the time for which an old list may be followed") {
+  const Duration told{6000000}, long_ago{60000000};
+  for (const std::int64_t grace_ms : {1000, 2000, 4000}) {
+    const Duration grace{grace_ms * 1000};
+    for (const bool shared : {false, true}) {
+      for (const std::uint32_t instances : {1u, 300u}) {
+        CAPTURE(grace_ms);
+        CAPTURE(shared);
+        CAPTURE(instances);
+        Duration silent{0}, refused{0}, hung{0};
+        std::mt19937_64 random(5);
+        std::uniform_real_distribution<double> even(0, 1);
+        for (int play = 0; play < 2000; ++play) {
+          CallWaits waits(shared, instances, grace);
+          const Duration first = waits.silence() + waits.Next(even(random), waits.silence());
+          silent = std::max(silent, first + waits.answer());
+          refused = std::max(refused, first + waits.Next(even(random), first) + waits.answer());
+          // It comes back just as a call has begun that will hang, after any number of failures.
+          for (int i = 0; i < play % 12; ++i) waits.Next(even(random), long_ago);
+          hung = std::max(hung, waits.call() + waits.Next(even(random), long_ago) + waits.answer());
+        }
+        CHECK(silent < told + grace);
+        CHECK(refused < told + grace);
+        CHECK(hung < (shared ? told : Duration{0}) + grace);
+        MESSAGE("silent ", silent.count(), " us, refused ", refused.count(), " us, hung ", hung.count(),
+                " us");
+      }
+    }
+  }
+}
+
+TEST_CASE("calls for the list by a fleet that is cut off keep under one rate though none waits too long") {
+  for (const std::uint32_t instances : {1u, 3u, 30u, 100u, 300u}) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      CAPTURE(instances);
+      std::mt19937_64 random(seed);
+      std::uniform_real_distribution<double> even(0, 1);
+      std::map<std::int64_t, int> made;
+      for (std::uint32_t i = 0; i < instances; ++i) {
+        CallWaits waits(true, instances, Duration(2000000));
+        for (Duration at{0}; (at += waits.Next(even(random), at)) < Duration(60000000);)
+          ++made[at.count() / 1000000];
+      }
+      for (const auto& [second, count] : made) {
+        CAPTURE(second);
+        // Two calls of each in what is left before the list binds; from then on one in 2.9 s at the most
+        // often.
+        CHECK(count <= (second < 8 ? 180 : 120));
+      }
+    }
+  }
+}
+
 constexpr double kCores = 5, kWork = 0.08;  // of a member; seconds a request
 constexpr Duration kReplaced{8000000}, kEnd{17000000};
 
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -8,6 +8,7 @@
 
 #include "config.h"
 #include "discovery/http.h"
+#include "discovery/list_text.h"
 #include "discovery/roster.h"
 #include "pg/message.h"
 #include "pg/statement.h"
@@ -16,6 +17,48 @@
 namespace lynxgrade {
 using namespace std::string_literals;
 
+TEST_CASE("a watch's body is taken apart into values and empty lines, however it is cut or indented") {
+  using Kind = discovery::ListText::Kind;
+  const struct {
+    std::string bytes;
+    std::vector<std::pair<Kind, std::string>> pieces;
+  } cases[] = {
+      {"\n", {{Kind::kBlank, ""}}},
+      {" \t\r\n", {{Kind::kBlank, ""}}},
+      {"{\"a\":1}\n\n", {{Kind::kValue, "{\"a\":1}"}, {Kind::kBlank, ""}}},
+      {"{\n  \"a\": [\n    1\n  ]\n}\n", {{Kind::kValue, "{\n  \"a\": [\n    1\n  ]\n}"}}},
+      {"{\"a\":\"}{\\\"[\"}\n", {{Kind::kValue, "{\"a\":\"}{\\\"[\"}"}}},
+      {"noise\n", {{Kind::kValue, "noise"}}},
+      {"}\n", {{Kind::kValue, "}"}}},
+      {"{\"a\":1", {}},
+      {"{\"a\":\n\n{}\n", {{Kind::kCut, ""}, {Kind::kValue, "{}"}}},
+      {"{\"a\":\"x\n{}\n", {{Kind::kCut, ""}, {Kind::kValue, "{}"}}},
+  };
+  for (const auto& c : cases) {
+    CAPTURE(c.bytes);
+    for (const std::size_t step : {std::size_t{1}, c.bytes.size()}) {
+      discovery::ListText text;
+      for (std::size_t at = 0; at < c.bytes.size(); at += step) text.Feed(c.bytes.substr(at, step));
+      for (const auto& [kind, value] : c.pieces) {
+        const auto piece = text.Take();
+        REQUIRE(piece);
+        CHECK(piece->kind == kind);
+        CHECK(piece->text == value);
+      }
+      CHECK_FALSE(text.Take());
+    }
+  }
+  // An end that is one: what stands there is whole or was cut.
+  for (const bool whole : {true, false}) {
+    discovery::ListText text;
+    text.Feed(whole ? "{}" : "{\"a\":[");
+    text.End();
+    const auto piece = text.Take();
+    REQUIRE(piece);
+    CHECK(piece->kind == (whole ? Kind::kValue : Kind::kCut));
+  }
+}
+
 TEST_CASE("frames") {
   const struct {
     std::string bytes;
