Owe nothing when client connections end: cancels, clients that go, stops, ageing

Now keys are unique while open, secrets from the kernel; a match withdraws the request and answers 57014; one that crosses the answer means an earlier request. - Session::OnPeerDone wrote one notice: a client that ended its sending and closed later was missed until its deadline; so was one that closed behind more than the ring holds, as paused reading sees no end. Now a look every 40 ms. - Session::Answer closed after an answer during a stop although a request lay behind it; StopServing closed those just accepted from the queue and those with half a message unread: reset, answer and request lost. - Front::Drain stopped at the earliest kill less 0.9 s: with deadlines of 0.4 s that is 0.2 s after SIGTERM, while new connections come for 0.4 s. Now no sooner than 0.7 s. - What was out with a deadline beyond the earliest kill was owed and never ended: now failed, or refused if never sent. - Connections closed for their age were closed over what might come: now the sending ends, the rest is thrown away. Ruled out: floods of complete requests with a close in one segment (300 connections: nothing further is sent on), a write held for its primary whose client closes, an answer larger than the client's window, a second SIGTERM.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kSweepEvery{250000};
+constexpr Duration kSweepLeaving{20000};  // while the program stops
 // A client that does not say who it is, or does not end what it has begun to say, is closed after this; with
 // the sweep that is well within the 3 s in which a bad client is owed its close.
 constexpr Duration kSayWithin{2000000};
@@ -30,6 +31,13 @@
 constexpr Duration kKilledAfter{700000};
 constexpr Duration kLastRequest{900000};  // before that
 constexpr Duration kLastAnswer{200000};
+// But new connections come for up to 0.4 s, and what is asked within 0.7 s is owed its whole time, which with
+// short deadlines ends no later than the earliest kill.
+constexpr Duration kServedAtLeast{700000};
+// A connection that was taken in just before the listener closed brings what it has to say after this.
+constexpr Duration kSaidWithin{100000};
+constexpr Duration kRestWithin{300000};  // and the rest of a message that was begun
+constexpr std::size_t kLooks = 16;       // at connections that might be closed for their descriptor
 
 Duration KilledAfter(const std::vector<RequestClass>& kinds) {
   Duration longest{0};
@@ -55,7 +63,8 @@
       complaints_(loop),
       killed_after_(KilledAfter(settings.classes)),
       sweep_(loop),
-      drain_(loop) {
+      drain_(loop),
+      last_(loop) {
   sweep_.After(kSweepEvery, [this] { Sweep(); });
 }
 
@@ -84,6 +93,7 @@
 void Front::Closed(Session& session) {
   if (session.shelf_) shelves_[static_cast<std::size_t>(*session.shelf_)].erase(session.place_);
   session.shelf_.reset();
+  if (session.process_ != 0) keys_.erase(session.process_);
   sessions_.erase(&session);
   if (leaving_ && sessions_.empty() && done_) std::exchange(done_, nullptr)();
 }
@@ -98,15 +108,38 @@
   // Many that have only just come are soon either served or silent: no reason to give up those that are
   // known.
   if (from->empty() && silent.size() <= idle.size()) from = &idle;
-  if (from->empty()) return false;
-  const auto held = sessions_.at(from->front());
-  held->Close();
-  return true;
+  // One that something has just come on is neither silent nor idle: closed over it, it would be reset.
+  std::size_t looks = 0;
+  for (Session* session : *from) {
+    if (++looks > kLooks) break;
+    if (from != &going && !session->Quiet()) continue;
+    const auto held = sessions_.at(session);
+    held->Close();
+    return true;
+  }
+  return false;
+}
+
+std::uint32_t Front::NewKey(Session& session) {
+  do {
+    ++last_number_;
+  } while (last_number_ == 0 || keys_.contains(last_number_));
+  keys_[last_number_] = &session;
+  return last_number_;
+}
+
+void Front::Cancel(std::uint32_t process, std::uint32_t secret, Time accepted) {
+  const auto it = keys_.find(process);
+  if (it == keys_.end()) return;
+  const auto held = sessions_.at(it->second);
+  held->Cancel(secret, accepted);
 }
 
 void Front::CloseAfter(Session::Shelf shelf, Duration time) {
   const Shelf& from = shelves_[static_cast<std::size_t>(shelf)];
-  while (!from.empty() && loop_.Now() - from.front()->since_ >= time) {
+  // Each is looked at once: one that goes on stands last from now on.
+  for (std::size_t left = from.size(); left > 0 && !from.empty(); --left) {
+    if (loop_.Now() - from.front()->since_ < time) return;
     const auto held = sessions_.at(from.front());
     held->Expire();
   }
@@ -114,6 +147,7 @@
 
 void Front::Sweep() {
   CloseAfter(Session::Shelf::kLeaving, kLeaveWithin);
+  if (leaving_) return SweepLeaving();
   CloseAfter(Session::Shelf::kSilent, kSayWithin);
   CloseAfter(Session::Shelf::kUnread, kReadWithin);
   CloseAfter(Session::Shelf::kIdle, budget_.ClientsOver(4)   ? kIdleFull
@@ -131,16 +165,36 @@
   if (drain_from_) return;
   done_ = std::move(done);
   drain_from_ = loop_.Now();
-  drain_.After(std::max(Duration{0}, killed_after_ - kLastRequest), [this] { StopServing(); });
+  drain_.After(std::max(kServedAtLeast, killed_after_ - kLastRequest), [this] { StopServing(); });
+  last_.After(killed_after_ - kLastAnswer, [this] { EndOwed(); });
 }
 
+// Nobody new from here on. Whoever has asked is answered, also what a connection brings that was taken in
+// last; each is then told the end of the sending, and what crosses that is not sent on.
 void Front::StopServing() {
-  listener_.Close();
   leaving_ = true;
-  for (const auto shelf : {Session::Shelf::kLeaving, Session::Shelf::kSilent, Session::Shelf::kIdle}) {
-    CloseAfter(shelf, Duration{0});
-  }
+  listener_.Close();
+  SweepLeaving();
   if (sessions_.empty() && done_) std::exchange(done_, nullptr)();
 }
 
+void Front::SweepLeaving() {
+  CloseAfter(Session::Shelf::kIdle, Duration{0});
+  std::vector<std::shared_ptr<Session>> over;
+  for (Session* session : shelves_[static_cast<std::size_t>(Session::Shelf::kSilent)]) {
+    const Duration time = session->Quiet() ? kSaidWithin : kRestWithin;
+    if (loop_.Now() - session->since_ >= time) over.push_back(sessions_.at(session));
+  }
+  for (const auto& session : over) session->Expire();
+  sweep_.After(kSweepLeaving, [this] { Sweep(); });
+}
+
+void Front::EndOwed() {
+  std::vector<std::shared_ptr<Session>> served;
+  for (Session* session : shelves_[static_cast<std::size_t>(Session::Shelf::kServed)]) {
+    served.push_back(sessions_.at(session));
+  }
+  for (const auto& session : served) session->GiveUp();
+}
+
 }  // namespace lynxgrade::front
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -49,7 +49,13 @@
   // Closes those on a shelf that have stood there for so long.
   void CloseAfter(Session::Shelf shelf, Duration time);
   void StopServing();
+  void SweepLeaving();
+  // Ends what is still being answered: the program may be killed soon.
+  void EndOwed();
   void Closed(Session& session);
+  // A key for CancelRequest that no other open connection has.
+  std::uint32_t NewKey(Session& session);
+  void Cancel(std::uint32_t process, std::uint32_t secret, Time accepted);
   bool leaving() const { return leaving_; }
   // The time that a request may take: less than its client gives it, where this program ends before.
   Duration Within(Duration budget) const;
@@ -66,10 +72,12 @@
   // In each, who has been there longest stands first.
   std::array<Shelf, Session::kShelves> shelves_;
   std::unordered_set<std::string> open_ids_;  // of the requests being answered
+  std::unordered_map<std::uint32_t, Session*> keys_;
   net::LogLimit complaints_;
   Duration killed_after_;  // SIGTERM, at the earliest
   net::Timer sweep_;
   net::Timer drain_;
+  net::Timer last_;
   std::function<void()> done_;
   std::optional<Time> drain_from_;
   std::uint32_t last_number_ = 0;
--- a/src/front/session.cpp
+++ b/src/front/session.cpp
@@ -1,8 +1,11 @@
 #include "front/session.h"
 
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <system_error>
 
 #include "front/front.h"
 #include "pg/message.h"
@@ -16,6 +19,8 @@
 // What a client may still send after it was told to go. More is not worth reading: the connection is closed
 // on it, and the reset stops the sender.
 constexpr std::size_t kThrownAway = 256 * 1024;
+// A client that has gone is owed no attempt 0.1 s later: one look in half of that, and what brings its end.
+constexpr Duration kLookEvery{40000};
 
 bool StartsWithWord(std::string_view text, std::string_view word) {
   if (text.size() < word.size()) return false;
@@ -32,6 +37,15 @@
   return static_cast<std::uint32_t>(it - names.begin());
 }
 
+// A secret that nobody can guess who was not told it.
+std::uint32_t Secret() {
+  std::uint32_t secret = 0;
+  if (getentropy(&secret, sizeof secret) != 0) {
+    throw std::system_error(errno, std::generic_category(), "no random bytes to be had");
+  }
+  return secret;
+}
+
 }  // namespace
 
 std::shared_ptr<const StatementWork> StatementWork::Read(std::string_view statement, std::string& wrong) {
@@ -48,9 +62,10 @@
 }
 
 Session::Session(Front& front, net::DescriptorBudget& budget)
-    : front_(front), slot_(budget.clients()), again_(front.loop_) {}
+    : front_(front), slot_(budget.clients()), again_(front.loop_), look_(front.loop_) {}
 
 void Session::Begin(net::ObjectPtr<GSocket> socket) {
+  accepted_ = front_.loop_.Now();
   connection_ =
       net::Connection::Adopt(front_.loop_, std::move(socket), *this, pg::kRingLimit, pg::kRingLimit);
 }
@@ -59,6 +74,7 @@
   if (connection_->closed()) return;
   connection_->Close();
   again_.Clear();
+  look_.Clear();
   if (state_ == State::kAsking) {
     state_ = State::kReady;
     front_.open_ids_.erase(id_);
@@ -68,10 +84,34 @@
 }
 
 void Session::Expire() {
-  if (shelf_ != Shelf::kSilent || connection_->in().empty()) return Close();
+  if (shelf_ == Shelf::kLeaving || shelf_ == Shelf::kUnread) return Close();
+  // What has come is read in this turn or the next: it is owed an answer, not a close.
+  if (connection_->SomethingCame()) return front_.Place(*this, *shelf_);
+  if (connection_->in().empty()) return Leave();
+  if (front_.leaving()) return Fatal("57P03", "the pooler is stopping");
   Fatal("08P01", "a message was begun and not ended in time");
 }
 
+void Session::Leave() {
+  if (connection_->closed()) return;
+  state_ = State::kLeaving;
+  connection_->EndSending();
+  connection_->ResumeReading();
+  Shelve();
+}
+
+// A CancelRequest that was on its way before this request was taken, or before the one ahead of it was
+// answered, means an earlier one.
+void Session::Cancel(std::uint32_t secret, Time accepted) {
+  if (secret != secret_ || state_ != State::kAsking || accepted < cancels_from_) return;
+  front_.proxy_.Withdraw(request_);
+  AnswerError("57014", "canceling statement due to user request");
+}
+
+void Session::GiveUp() {
+  if (state_ == State::kAsking) front_.proxy_.GiveUp(request_);
+}
+
 // Takes what has come, one request at a time: later ones stay in the ring until the answer is written, and a
 // full ring stops the reading.
 void Session::Work() {
@@ -93,6 +133,22 @@
   }
   Shelve();
   if (connection->in().room() > 0) connection->ResumeReading();
+  const bool unheard = connection->peer_done() || connection->in().room() == 0;
+  if (state_ == State::kAsking && unheard && !look_.armed()) {
+    look_.After(kLookEvery, [this] { Look(); });
+  }
+  // Between requests of a program that stops, and nothing more has come that could be answered.
+  if (front_.leaving() && state_ == State::kReady && !later && connection->all_written() && Quiet()) Leave();
+}
+
+// A notice, which every client skips, brings a reset from one that has closed. Nothing else tells of it: the
+// end of sending came before, or waits behind bytes for which the ring has no room.
+void Session::Look() {
+  if (state_ != State::kAsking) return;
+  std::string notice;
+  pg::AppendNotice(notice, "still at work");
+  look_.After(kLookEvery, [this] { Look(); });
+  Write(notice);
 }
 
 void Session::TakeSome() {
@@ -121,14 +177,11 @@
 
 void Session::OnWritten() { Work(); }
 
-// A client that has closed is gone, but one that has only ended its sending still wants its answer. The two
-// look alike from here until something is written: a notice, which every client skips, brings a reset from
-// one that has closed.
+// A client that has closed is gone, but one that has only ended its sending still wants its answer, and may
+// close later. They look alike from here until something is written.
 void Session::OnPeerDone() {
   if (state_ != State::kAsking) return Work();
-  std::string notice;
-  pg::AppendNotice(notice, "still at work");
-  Write(notice);
+  Look();
 }
 
 bool Session::TakeStartup() {
@@ -145,8 +198,9 @@
     case pg::StartupKind::kGssEncryption:
       Write("N");
       return true;
-    case pg::StartupKind::kCancel:  // requests end by closing their connection
-      Close();
+    case pg::StartupKind::kCancel:  // answered by a close alone, whether or not the key is anybody's
+      front_.Cancel(startup.process, startup.secret, accepted_);
+      Leave();
       return false;
     case pg::StartupKind::kUnsupported:
       Fatal("0A000", "unsupported frontend protocol: only version 3 is spoken here");
@@ -164,7 +218,9 @@
   pg::AppendStatus(hello, "server_encoding", "UTF8");
   pg::AppendStatus(hello, "client_encoding", "UTF8");
   pg::AppendStatus(hello, "standard_conforming_strings", "on");
-  pg::AppendBackendKey(hello, ++front_.last_number_, 0);
+  process_ = front_.NewKey(*this);
+  secret_ = Secret();
+  pg::AppendBackendKey(hello, process_, secret_);
   pg::AppendReady(hello);
   state_ = State::kReady;
   Write(hello);
@@ -259,6 +315,7 @@
   ask.event.time_left = front_.Within(std::chrono::milliseconds(*comment.budget_ms));
   ask.work = work;
   state_ = State::kAsking;
+  cancels_from_ = std::max(front_.loop_.Now(), answered_ + Duration(1));
   front_.open_ids_.insert(id);
   id_ = std::move(id);
   Shelve();  // from here on it is not one to be closed for the descriptor that its own request needs
@@ -294,14 +351,15 @@
 
 // Ends the request being answered, if there is one, and goes on with what the client has sent meanwhile.
 void Session::Answer(std::string& bytes) {
-  if (state_ == State::kAsking) front_.open_ids_.erase(id_);
+  if (state_ == State::kAsking) {
+    front_.open_ids_.erase(id_);
+    answered_ = front_.loop_.Now();
+  }
   state_ = State::kReady;
   pg::AppendReady(bytes);
   const auto self = shared_from_this();
   Write(bytes);
-  if (connection_->closed()) return;
-  if (front_.leaving() && connection_->all_written()) return Close();
-  Work();
+  if (!connection_->closed()) Work();
 }
 
 void Session::Write(std::string_view bytes) {
@@ -318,11 +376,7 @@
   pg::AppendError(out, "FATAL", code, message);
   Write(out);
   if (connection_->closed()) return;
-  // Closing on bytes that were not read would reset the connection, and the reset would overtake the error.
-  // So only the sending ends; the rest is thrown away until the client closes, or the sweep does.
-  state_ = State::kLeaving;
-  connection_->EndSending();
-  Shelve();
+  Leave();
 }
 
 }  // namespace lynxgrade::front
--- a/src/front/session.h
+++ b/src/front/session.h
@@ -38,8 +38,18 @@
   Session(Front& front, net::DescriptorBudget& budget);
   void Begin(net::ObjectPtr<GSocket> socket);
   void Close();
-  // Its time on a shelf is over: the client hears why, if it is in the middle of saying something.
+  // Its time on a shelf is over. Ends it as Leave does, or goes on where something has come meanwhile; the
+  // client hears why, if it is in the middle of saying something.
   void Expire();
+  // Ends the sending and throws away what still comes, until the client closes too: a close on bytes that
+  // were not read would reset the connection, and the reset overtakes the last answer.
+  void Leave();
+  // Whether nothing has come that was not read.
+  bool Quiet() const { return connection_->in().empty() && !connection_->SomethingCame(); }
+  // The client wants no answer any more, as it says by a connection that was taken in at `accepted`.
+  void Cancel(std::uint32_t secret, Time accepted);
+  // Ends the request being answered, as nothing can be waited for any more.
+  void GiveUp();
 
   // What the front may do with it. kSilent: has not said who it is, or not ended a message that it began.
   // kUnread: does not take its answer. kServed: has a request open, and stays.
@@ -61,6 +71,8 @@
   friend class Front;
 
   void Work();
+  // Looks whether a client whose sending is not read, or has ended, is still there.
+  void Look();
   void TakeSome();
   void Shelve();
   bool TakeStartup();
@@ -77,10 +89,16 @@
   std::shared_ptr<net::Connection> connection_;
   State state_ = State::kStartup;
   bool working_ = false;
+  std::uint32_t process_ = 0;  // the key for CancelRequest, from the start on
+  std::uint32_t secret_ = 0;
   RequestId request_{};
+  Time accepted_{};
+  Time answered_{};      // when the newest answer to a request was given
+  Time cancels_from_{};  // CancelRequests that came in before mean an earlier request
   std::string id_;  // as the client named its open request
   std::size_t thrown_away_ = 0;
   net::Timer again_;
+  net::Timer look_;
   // Kept by the front.
   std::optional<Shelf> shelf_;
   std::list<Session*>::iterator place_{};
--- a/src/pg/message.cpp
+++ b/src/pg/message.cpp
@@ -104,7 +104,11 @@
   if (code == kSslCode || code == kGssCode || code == kCancelCode) {
     if (code == kSslCode && body.empty()) startup.kind = StartupKind::kSsl;
     if (code == kGssCode && body.empty()) startup.kind = StartupKind::kGssEncryption;
-    if (code == kCancelCode && body.size() == 8) startup.kind = StartupKind::kCancel;
+    if (code == kCancelCode && body.size() == 8) {
+      startup.kind = StartupKind::kCancel;
+      startup.process = U32(body);
+      startup.secret = U32(body.substr(4));
+    }
     return startup;
   }
   if (code >> 16 != 3) {
--- a/src/pg/message.h
+++ b/src/pg/message.h
@@ -31,6 +31,8 @@
   std::uint16_t minor = 0;
   std::string user;
   std::string database;
+  std::uint32_t process = 0;  // kCancel: the key of the connection whose request is to end
+  std::uint32_t secret = 0;
 };
 Startup ReadStartup(std::string_view body);
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -94,6 +94,23 @@
   Feed(GoneEvent{request});
 }
 
+void Proxy::GiveUp(RequestId request) {
+  if (auto ready = ready_.extract(request)) {  // it has run, but may not be told so yet
+    --open_;
+    ++counts_.failed;
+    return ready.mapped().client->Failed();
+  }
+  const auto it = requests_.find(request);
+  if (it == requests_.end()) return;
+  const bool sent = it->second.attempts > 0;
+  Client* client = Close(request);
+  if (client == nullptr) return;
+  keeper_.Over(request);
+  Feed(GoneEvent{request});
+  ++(sent ? counts_.failed : counts_.refused);
+  sent ? client->Failed() : client->Refused(turned_away_);
+}
+
 void Proxy::ListChanged(ListEvent list) {
   Event event = std::move(list);
   Look(event);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -24,6 +24,8 @@
   void Take(Ask ask, Client& client, RequestId& id);
   // The client has gone away: no answer is wanted any more.
   void Withdraw(RequestId request);
+  // Answers at once, as nothing can be waited for any more: refused where nothing was sent on, else failed.
+  void GiveUp(RequestId request);
   void ListChanged(ListEvent event);
   std::size_t open() const { return open_; }
   session::Keeper& keeper() { return keeper_; }
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -17,6 +17,442 @@
 constexpr Duration kSecond{1000000};
 constexpr int kLong = 60000;  // ms: what ends before was not ended by the deadline; longer than any test
 
+// Deadlines under the least time for which a stop serves on: it may be killed 1.1 s after the signal.
+Settings Short() {
+  Settings s = Usual();
+  for (RequestClass& kind : s.classes) kind.deadline = Duration(400000);
+  return s;
+}
+
+std::string Query(const std::string& text) {
+  std::string out;
+  pg::AppendQuery(out, text);
+  return out;
+}
+
+// A client that has said who it is, as a bare socket: what it does happens while the loop stands still.
+class Bare {
+ public:
+  explicit Bare(std::uint16_t port, const std::string& bytes = {})
+      : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(port);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(socket_, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+    std::string out;
+    pg::AppendStartup(out, "worker", "catalog");
+    Say(out + bytes);
+  }
+  ~Bare() { Close(); }
+  void Say(const std::string& bytes) {
+    REQUIRE(send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  }
+  // As much as the kernel takes.
+  void SayMuch(const std::string& bytes) {
+    send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  }
+  void Close() {
+    if (socket_ >= 0) close(socket_);
+    socket_ = -1;
+  }
+  // What has come so far; `ended` where the end has.
+  std::string Read() {
+    char block[4096];
+    for (ssize_t count; (count = recv(socket_, block, sizeof block, MSG_DONTWAIT)) >= 0;) {
+      if (count == 0) ended = true;
+      if (count == 0) break;
+      bytes.append(block, static_cast<std::size_t>(count));
+    }
+    return bytes;
+  }
+  // What the connection has come to, or 0.
+  int Fault() const {
+    int fault = 0;
+    socklen_t size = sizeof fault;
+    getsockopt(socket_, SOL_SOCKET, SO_ERROR, &fault, &size);
+    return fault;
+  }
+  void EndSending() { shutdown(socket_, SHUT_WR); }
+  bool Saw(const std::string& text) { return Read().find(text) != std::string::npos; }
+  std::string bytes;
+  bool ended = false;
+
+ private:
+  int socket_;
+};
+
+// What BackendKeyData gave a client, as the body of a CancelRequest.
+std::string KeyOf(const Peer& client) {
+  std::string rest = client.bytes;
+  for (pg::Frame f; (f = pg::ReadFrame(rest)).framing == pg::Framing::kWhole; rest.erase(0, f.size))
+    if (f.type == 'K') return std::string(f.body);
+  return {};
+}
+
+std::string CancelBytes(const std::string& key) { return std::string("\0\0\0\x10\x04\xd2\x16\x2e", 8) + key; }
+
+// ---- Clients that go -------------------------------------------------------------------------------------
+
+TEST_CASE(
+    "a cancel ends the open request with 57014, calls its attempt off, and leaves the connection usable") {
+  World w;
+  DataServer& server = w.Serve(kSilent);
+  w.List();
+  Peer& client = w.Client({Ask("any", "k", kLong)});
+  w.Until([&] { return server.queries.size() == 1; });
+  const std::size_t asked_on = server.peers.size();
+  Peer& cancel = w.Connect(w.front.port());
+  cancel.Say(CancelBytes(KeyOf(client)));
+  w.Until([&] { return client.Types().ends_with("EZ") && cancel.ended; });
+  CHECK(client.Saw("57014"));
+  CHECK(cancel.bytes.empty());
+  CHECK_FALSE(cancel.reset);
+  CHECK(w.proxy.open() == 0);
+  w.Until([&] { return std::ranges::any_of(server.peers, [](const auto& p) { return p->ended; }); });
+  CHECK(server.peers.size() == asked_on);  // nothing further was sent
+  server.script = kAnswer;
+  client.Say(Query(Ask("any", "2")));
+  w.Until([&] { return client.Types().ends_with("EZTDCZ"); });
+}
+
+TEST_CASE("a cancel with a wrong key, or one that is nobody's, has no effect and gets a close alone") {
+  World w;
+  DataServer& server = w.Serve(kSilent);
+  w.List();
+  Peer& client = w.Client({Ask("any", "k", kLong)});
+  Peer& other = w.Client({""});
+  w.Until([&] { return server.queries.size() == 1 && other.Saw("I"); });
+  const std::string key = KeyOf(client), others = KeyOf(other);
+  REQUIRE(key.size() == 8);
+  CHECK(key.substr(0, 4) != others.substr(0, 4));
+  CHECK(key.substr(4) != others.substr(4));
+  std::string wrong = key, nobodys = key;
+  wrong[7] = static_cast<char>(wrong[7] ^ 1);
+  nobodys[0] = '\x7f';
+  for (const std::string& bad : {wrong, nobodys, others}) {
+    Peer& cancel = w.Connect(w.front.port());
+    cancel.Say(CancelBytes(bad));
+    w.Until([&] { return cancel.ended; });
+    CHECK(cancel.bytes.empty());
+  }
+  CHECK(w.proxy.open() == 1);
+  server.peers.back()->Say(Row("v"));
+  w.Until([&] { return client.Types().ends_with("TDCZ"); });
+}
+
+TEST_CASE("a cancel that crosses the answer does not hit the next request of that connection") {
+  World w;
+  DataServer& server = w.Serve(kSilent);
+  w.List();
+  Peer& client = w.Client({Ask("any", "1", kLong), Ask("any", "2", kLong)});
+  w.Until([&] { return server.queries.size() == 1; });
+  // On its way while the first is out; its bytes come when the second is.
+  Peer& cancel = w.Connect(w.front.port());
+  w.Until([&] { return w.front.sessions() == 2; });
+  for (const auto& peer : server.peers) peer->Say(Row("1"));
+  w.Until([&] { return server.queries.size() == 2; });
+  cancel.Say(CancelBytes(KeyOf(client)));
+  w.Until([&] { return cancel.ended; });
+  CHECK(w.proxy.open() == 1);
+  for (const auto& peer : server.peers) peer->Say(Row("2"));
+  w.Until([&] { return client.Types().ends_with("TDCZTDCZ"); });
+}
+
+TEST_CASE("a client that sends more than the ring holds and goes is missed at once") {
+  World w;
+  DataServer& server = w.Serve(kSilent);
+  w.List();
+  std::string much;
+  for (int i = 0; i < 8000; ++i) much += Query(Ask("any", "k", kLong));
+  REQUIRE(much.size() > 2 * pg::kRingLimit);
+  Bare client(w.front.port());
+  w.Until([&] { return client.Saw("Z"); });
+  client.Say(Query(Ask("any", "k", kLong)));
+  w.Until([&] { return server.queries.size() == 1; });
+  client.SayMuch(much);
+  // Until the ring is full and nothing is read any more.
+  const Time from = w.loop.Now();
+  w.Until([&] { return w.loop.Now() - from > Duration(50000); });
+  client.Read();  // or the kernel would reset at once
+  client.Close();
+  w.Until([&] { return w.proxy.counts().withdrawn == 1; });
+  w.Until([&] { return w.front.sessions() == 0; });
+  CHECK(server.queries.size() == 1);
+}
+
+TEST_CASE("a client that has ended its sending is told from one that closes after that") {
+  World w;
+  DataServer& server = w.Serve(kSilent);
+  w.List();
+  Peer& stays = w.Client({Ask("any", "1", kLong)});
+  Peer& goes = w.Client({Ask("any", "2", kLong)});
+  w.Until([&] { return server.queries.size() == 2; });
+  for (Peer* peer : {&stays, &goes}) shutdown(peer->connection->descriptor(), SHUT_WR);
+  w.Until([&] { return stays.Saw("still at work") && goes.Saw("still at work"); });
+  goes.connection->Close();
+  w.Until([&] { return w.proxy.counts().withdrawn == 1; });
+  for (const auto& peer : server.peers) {
+    if (!peer->ended) peer->Say(Row("v"));
+  }
+  w.Until([&] { return stays.Types().ends_with("TDCZ"); });
+}
+
+TEST_CASE("a write that waits for its primary is not sent on once its client has closed") {
+  Settings patient = Usual();
+  patient.classes[2].aim = 30 * kSecond;
+  World w(200, patient);
+  DataServer& server = w.Serve([](Peer& p, const std::string&) { p.Say(Error("25006")); });
+  w.List();
+  Peer& client = w.Client({Ask("write", "gone", kLong)});
+  w.Until([&] { return !server.queries.empty() && w.proxy.open() == 1; });
+  client.connection->Close();
+  w.Until([&] { return w.proxy.counts().withdrawn == 1; });
+  const std::size_t before = server.queries.size();
+  server.report = "x1=1,x0=" + std::to_string(w.loop.Now().time_since_epoch().count() / 1000000);
+  server.script = [](Peer& p, const std::string&) { p.Say(Row("v", "primary")); };
+  Peer& other = w.Client({Ask("write", "here", kLong)});
+  w.Until([&] { return other.Types().ends_with("TDCZ"); });
+  for (std::size_t i = before; i < server.queries.size(); ++i)
+    CHECK(server.queries[i].find("'gone'") == std::string::npos);
+}
+
+TEST_CASE("hundreds of connections that send much and go in one segment cost the others nothing") {
+  World w(1000);
+  DataServer& server = w.Serve([](Peer& p, const std::string& text) {
+    if (text.find("'g'") != std::string::npos) p.Say(Row("g"));  // the others' never come back
+  });
+  w.List();
+  const std::uint16_t port = w.front.port();
+  for (int i = 0; i < 300; ++i) {
+    Bare flood(port, Query(Ask("any", "f", kLong)) + Query(Ask("any", "f", kLong)) + Query("SET x"));
+  }
+  // Refused with advice while the flood stands, served once it has gone.
+  Peer& good = w.Client({""});
+  std::size_t heard = 0;
+  w.Until([&] {
+    const std::string types = good.Types();
+    if (types.ends_with("Z") && !types.ends_with("DCZ") && types.size() > heard) {
+      heard = types.size();
+      good.Say(Query(Ask("any", "g", kLong)));
+    }
+    return types.ends_with("TDCZ");
+  });
+  w.Until([&] { return w.proxy.open() == 0 && w.front.sessions() == 1; });
+  CHECK(std::ranges::count_if(server.queries, [](const auto& q) {
+          return q.find("'f'") != std::string::npos;
+        }) <= 300);  // none of the second requests
+}
+
+// ---- Stops -----------------------------------------------------------------------------------------------
+
+// Whether the last answers are so many and whole: served, or refused for the little time that is left.
+bool Answered(const std::string& types, int count) {
+  std::string rest = types;
+  while (count-- > 0) {
+    if (rest.ends_with("TDCZ")) {
+      rest.resize(rest.size() - 4);
+    } else if (rest.ends_with("EZ")) {
+      rest.resize(rest.size() - 2);
+    } else {
+      return false;
+    }
+  }
+  return rest.ends_with("KZ") || rest.ends_with("IZ");
+}
+
+// Until the listener is closed, and those between requests are told to go.
+void UntilLeaving(World& w, Time from) {
+  w.Until([&] { return w.loop.Now() - from >= Duration(720000); });
+}
+
+TEST_CASE("a stop answers what was read behind an answer, and what is sent later is not sent on") {
+  World w(200, Short());
+  DataServer& server = w.Serve(kSilent);
+  w.List();
+  bool done = false;
+  w.front.Drain([&] { done = true; });
+  const Time from = w.loop.Now();
+  w.Until([&] { return w.loop.Now() - from >= Duration(600000); });
+  Peer& client = w.Client({Ask("any", "1", kLong), Ask("any", "2", kLong)});
+  w.Until([&] { return server.queries.size() == 1; });
+  UntilLeaving(w, from);
+  server.script = kAnswer;
+  for (const auto& peer : server.peers) peer->Say(Row("1"));
+  w.Until([&] { return client.ended; });
+  CHECK(Answered(client.Types(), 2));
+  CHECK_FALSE(client.reset);
+  const std::size_t before = server.queries.size();
+  client.Say(Query(Ask("any", "3", kLong)));
+  w.Until([&] { return client.connection->all_written(); });
+  CHECK_FALSE(done);  // while the client has not closed, what it sends is thrown away
+  client.connection->Close();
+  w.Until([&] { return done; });
+  CHECK(server.queries.size() == before);
+}
+
+TEST_CASE("a request that crosses the close of a resting connection is not sent on, and draws no reset") {
+  Settings patient = Short();
+  for (RequestClass& kind : patient.classes) kind.aim = 30 * kSecond;  // or it might be refused for its time
+  World w(200, patient);
+  DataServer& server = w.Serve(kAnswer);
+  w.List();
+  Bare resting(w.front.port(), Query(""));
+  w.Until([&] { return resting.Saw("I"); });
+  w.front.Drain([] {});
+  w.Until([&] {
+    resting.Read();
+    return resting.ended;
+  });
+  resting.Say(Query(Ask("any", "k", kLong)));
+  w.Until([&] { return w.front.sessions() == 0; });
+  CHECK(server.queries.empty());
+  CHECK(resting.Fault() == 0);
+}
+
+TEST_CASE("a client that asks again at each answer is told the end by a stop all the same") {
+  Settings patient = Short();
+  for (RequestClass& kind : patient.classes) kind.aim = 30 * kSecond;
+  World w(200, patient);
+  std::vector<std::unique_ptr<net::Timer>> timers;
+  DataServer& server = w.Serve([&](Peer& p, const std::string&) {  // hardly a moment between two requests
+    timers.push_back(std::make_unique<net::Timer>(w.loop));
+    timers.back()->After(Duration(15000), [&p] { p.Say(Row("v")); });
+  });
+  w.List();
+  Peer& client = w.Client({Ask("any", "k", kLong)});
+  bool done = false;
+  w.front.Drain([&] { done = true; });
+  const Time from = w.loop.Now();
+  std::size_t heard = 0, at_stop = 0;
+  w.Until([&] {
+    if (w.loop.Now() - from >= Duration(720000) && at_stop == 0) at_stop = server.queries.size();
+    const std::size_t types = client.Types().size();
+    if (!client.ended && types > heard && client.Types().ends_with("CZ")) {
+      client.Say(Query(Ask("any", "k", kLong)));
+    }
+    heard = types;
+    return client.ended;
+  });
+  CHECK((at_stop == 0 || server.queries.size() <= at_stop + 1));
+  client.connection->Close();
+  w.Until([&] { return done; });
+}
+
+TEST_CASE("half a request at a stop is refused with 57P03, or answered if its rest comes") {
+  World w(200, Short());
+  w.Serve(kAnswer);
+  w.List();
+  w.front.Drain([] {});
+  const Time from = w.loop.Now();
+  w.Until([&] { return w.loop.Now() - from >= Duration(650000); });
+  const std::string query = Query(Ask("any", "v", kLong));
+  Peer& half = w.Client({""});
+  Peer& whole = w.Client({""});
+  w.Until([&] { return half.Saw("I") && whole.Saw("I"); });
+  for (Peer* peer : {&half, &whole}) peer->Say(query.substr(0, 30));
+  UntilLeaving(w, from);
+  whole.Say(query.substr(30));
+  w.Until([&] { return whole.ended && half.ended; });
+  CHECK(Answered(whole.Types(), 1));
+  CHECK(half.Saw("57P03"));
+  CHECK_FALSE(half.reset);
+  CHECK_FALSE(whole.reset);
+}
+
+TEST_CASE("a connection that waits in the queue as the listener closes has its request answered") {
+  World w(200, Short());
+  w.Serve(kAnswer);
+  w.List();
+  w.front.Drain([] {});
+  const Time from = w.loop.Now();
+  w.Until([&] { return w.loop.Now() - from >= Duration(600000); });
+  // The loop stands still until the listener is due to close: the connection and its request come meanwhile.
+  Bare queued(w.front.port(), Query(Ask("any", "v", kLong)));
+  while (w.loop.Precise() - from < Duration(705000))
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  w.Until([&] { return queued.Saw("SELECT 1") || queued.Saw("53300"); });
+  w.Until([&] {
+    queued.Read();
+    return queued.ended;
+  });
+}
+
+TEST_CASE("what is owed is answered before the earliest kill, whatever its deadline") {
+  World w(200, Short());
+  DataServer& server = w.Serve(kSilent);
+  w.List();
+  Peer& out = w.Client({Ask("any", "1", kLong)});
+  w.Until([&] { return server.queries.size() == 1; });
+  server.script = [](Peer& p, const std::string&) { p.Say(Error("25006")); };
+  Peer& held = w.Client({Ask("write", "2", kLong)});
+  w.Until([&] { return w.proxy.open() == 2; });
+  bool done = false;
+  w.front.Drain([&] { done = true; });
+  w.front.Drain([&] { FAIL("a second stop is none of its own"); });
+  const Time from = w.loop.Now();
+  w.Until([&] { return out.Types().ends_with("EZ") && held.Types().ends_with("EZ"); });
+  // The loop's own times: this is the moment that was chosen, not how fast the machine is.
+  CHECK(w.loop.Now() - from >= Duration(850000));
+  CHECK(out.Saw("58000"));
+  w.Until([&] { return done || (out.ended && held.ended); });
+}
+
+TEST_CASE("an answer larger than the client's window at the stop arrives whole, and then the end") {
+  World w(200, Short());
+  const std::string large(60000, 'x');
+  DataServer& server = w.Serve([&](Peer& p, const std::string&) {
+    std::string out;
+    pg::AppendMessage(out, 'T', kColumn);
+    std::string row("\0\1\0\0", 4);
+    row += static_cast<char>(large.size() >> 8);
+    row += static_cast<char>(large.size() & 0xff);
+    pg::AppendMessage(out, 'D', row + large);
+    pg::AppendComplete(out, "SELECT 1");
+    pg::AppendReady(out);
+    p.Say(out);
+  });
+  w.List();
+  Peer& client = w.Connect(w.front.port());
+  const int small = 65536;
+  setsockopt(client.connection->descriptor(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+  client.connection->PauseReading();
+  std::string out;
+  pg::AppendStartup(out, "worker", "catalog");
+  for (int i = 0; i < 60; ++i) pg::AppendQuery(out, Ask("any", "k", kLong));
+  client.Say(out);
+  w.Until([&] { return !server.queries.empty(); });
+  w.front.Drain([] {});
+  const Time from = w.loop.Now();
+  UntilLeaving(w, from);
+  client.connection->ResumeReading();
+  w.Until([&] { return client.ended; });
+  CHECK_FALSE(client.reset);
+  // Every answer that was begun is whole.
+  std::string rest = client.bytes;
+  for (pg::Frame f; (f = pg::ReadFrame(rest)).framing == pg::Framing::kWhole;) rest.erase(0, f.size);
+  CHECK(rest.empty());
+  CHECK(client.Types().ends_with("Z"));
+}
+
+TEST_CASE("an idle client that is closed for its age reads the end; its next request is not run, nor reset") {
+  World w(100);
+  DataServer& server = w.Serve(kAnswer);
+  w.List();
+  Bare first(w.front.port(), Query(""));
+  w.Until([&] { return first.Saw("I"); });
+  for (int i = 0; i < 20; ++i) w.Client({""});  // more than a quarter of what clients may hold
+  w.Until([&] {
+    first.Read();
+    return first.ended;
+  });
+  first.Say(Query(Ask("any")));
+  first.EndSending();
+  w.Until([&] { return w.front.sessions() == 0; });
+  CHECK(server.queries.empty());
+  CHECK(first.Fault() == 0);
+}
+
 // ---- Discovery that goes quiet ---------------------------------------------------------------------------
 
 // An agent that answers each call by its number, and a watch on it.
