Write repeats within their window and scope; cut answers that never end

Seen by reading, each confirmed by a test that fails without its mend: - MayRepeat checks the window when the send is decided; Pool::Dispatch wrote the query when the connection had come up, up to connect_timeout later, and the kernel may take its rest later still. Send now says until when it may be written; Pool ends what is not written by then as unreachable, also where the loop stood still. - key_scope 'zone' was read as 'cell': a repeat went to another zone of the group. The module now keeps to the zone of what may have run. - Backend::Stalled looked again as long as something was unread: an answer that goes on for ever was cut by the deadline alone. It looks again once. - Backend::Lost took a query that the connection had refused for written (its ring was empty): may have run. It never did. Ruled out: an answer and a reset in one turn (served once), half an answer and a reset (none), a member that drained and is back under its id, repeats by effect (never, within the window, freely): tests stand as the proof. Not forced: the rest of a large statement that the kernel has no room for, and Lost's refused write.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -81,6 +81,7 @@
 struct Member {
   MemberId id{};
   GroupId group{};
+  ZoneIndex zone = 0;
   double weight = 1;
   bool leaving = false;      // told that it drains or is gone
   std::optional<Time> gone;  // since when, where it does not merely drain
@@ -115,6 +116,7 @@
 
 struct Attempt {
   MemberId member{};
+  ZoneIndex zone = 0;  // of the member
   Time sent{};
   bool pending = true;
   bool may_have_run = true;
@@ -185,6 +187,7 @@
     if (fresh) {
       m.id = entry.member;
       m.group = entry.group;
+      m.zone = entry.zone;
       groups_[m.group].members.push_back(m.id);
     }
     m.weight = entry.weight > 0 ? entry.weight : 1;
@@ -266,7 +269,6 @@
     return !ColdByChance(*m) || Chance(fleet::Odds(ColdRate(*m), wanted)) ? m : nullptr;
   }
 
-  // The shortest class's work: a cold budget below that is kept by chance.
   double ShortestWork() const { return *std::min_element(class_latency_.begin(), class_latency_.end()); }
 
   bool Chance(double odds) { return std::uniform_real_distribution<double>(0, 1)(random_) < odds; }
@@ -358,7 +360,7 @@
     if (m.group != r.ask.group || m.leaving) return false;
     if (r.attempts.size() >= s_.max_attempts || r.deadline <= now_) return false;
     if (Pending(r) && (!s_.may_duplicate || cls.effect != Effect::kSafe)) return false;
-    if (!MayRepeat(r)) return false;
+    if (!MayRepeat(r) || (cls.repeats_in_zone && RanElsewhere(r, m.zone))) return false;
     if (MustProve(r) && !IsPrimary(m)) {
       if (cls.kind == ReadKind::kFresh || !Proven(m, Target(r))) return false;
     }
@@ -660,8 +662,8 @@
     m.out[{r.ask.id, static_cast<AttemptNumber>(r.attempts.size())}] = {
         now_, r.ask.cls, spill, target, !Known(m, target), m.out.size()};
     if (spill) m.spare.Take();
-    r.attempts.push_back({m.id, now_, true, true});
-    out_->push_back(Send{r.ask.id, m.id, r.deadline - now_});
+    out_->push_back(Send{r.ask.id, m.id, r.deadline - now_, RepeatWithin(r)});
+    r.attempts.push_back({m.id, m.zone, now_});
   }
 
   void On(const RequestEvent& event) {
@@ -831,12 +833,21 @@
     Wait(r, Jittered(kPause * static_cast<int>(r.attempts.size())));
   }
 
-  bool MayRepeat(const Request& r) const {
-    if (Class(r).effect == Effect::kSafe) return true;
-    return std::none_of(r.attempts.begin(), r.attempts.end(), [&](const Attempt& a) {
-      return a.may_have_run &&
-             (Class(r).effect == Effect::kUnsafe || now_ + s_.tick >= a.sent + Class(r).repeat_window);
-    });
+  bool MayRepeat(const Request& r) const { return RepeatWithin(r) > Duration{0}; }
+
+  // For how long another attempt may still be written, by what the earlier ones may have done.
+  Duration RepeatWithin(const Request& r) const {
+    Duration within = Duration::max();
+    for (const Attempt& a : r.attempts) {
+      if (!a.may_have_run || Class(r).effect == Effect::kSafe) continue;
+      const bool keyed = Class(r).effect == Effect::kKeyed;
+      within = std::min(within, keyed ? a.sent + Class(r).repeat_window - s_.tick - now_ : Duration{0});
+    }
+    return within;
+  }
+
+  static bool RanElsewhere(const Request& r, ZoneIndex zone) {
+    return std::ranges::any_of(r.attempts, [=](const auto& a) { return a.may_have_run && a.zone != zone; });
   }
 
   void On(const StreamEvent& event) {
--- a/src/balance.h
+++ b/src/balance.h
@@ -52,6 +52,7 @@
   Duration bound{0};             // kBounded: how old the data may be when the request is sent
   Duration repeat_window{0};     // kKeyed: how long repeats are discarded
   bool repeats_anywhere = true;  // kKeyed: every member discards repeats, not only the group
+  bool repeats_in_zone = false;  // kKeyed: those in the zone of the one that may have run it do
   double worth = 1;
   double late_value = 0;
 };
@@ -191,6 +192,8 @@
   RequestId id{};
   MemberId member{};
   Duration limit{0};
+  // A repeat of what may have run: its last byte goes out within this, or not at all.
+  Duration write_within = Duration::max();
 };
 struct Refuse {
   RequestId id{};
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -66,11 +66,17 @@
   ~BackendEvents() = default;
 };
 
+// How long an attempt is waited for, and how long its last byte may take to go out.
+struct SendTimes {
+  Duration limit{0};
+  Duration write_within = Duration::max();
+};
+
 // Every Send and every Probe brings one end, also when nothing could be sent.
 class Backends {
  public:
   virtual void Send(RequestId request, AttemptNumber attempt, MemberId member,
-                    std::shared_ptr<const Work> work, Duration limit) = 0;
+                    std::shared_ptr<const Work> work, SendTimes times) = 0;
   virtual void Cancel(RequestId request, AttemptNumber attempt) = 0;
   virtual void Probe(MemberId member) = 0;
   virtual void CloseIdle(MemberId member) = 0;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -243,7 +243,7 @@
     return;
   }
   ++counts_.attempts;
-  backends_.Send(action.id, number, action.member, it->second.work, action.limit);
+  backends_.Send(action.id, number, action.member, it->second.work, {action.limit, action.write_within});
 }
 
 void Proxy::Do(const Refuse& action) {
--- a/src/upstream/backend.cpp
+++ b/src/upstream/backend.cpp
@@ -146,10 +146,17 @@
   job_->written = loop_.Now();
   job_->connect.Clear();
   reply_ = Reply();
+  asked_ = false;
   std::string query;
   pg::AppendQuery(query, job_->probe() ? "SHOW pressure" : job_->work->TextFor(job_->until - loop_.Now()));
   // A client's largest statement fits the ring, so this is refused only by a connection that broke unseen.
-  if (!connection_->Write(query)) Lost();
+  asked_ = connection_->Write(query);
+  if (!asked_) return Lost();
+  if (job_->write_by == Time::max() || Written()) return;
+  // A repeat whose rest the kernel has no room for yet.
+  job_->connect.Set(job_->write_by, [this, weak = std::weak_ptr<Job>(job_)] {
+    if (const auto held = weak.lock()) pool_.WrittenLate(held);
+  });
 }
 
 void Backend::OnReadable() {
@@ -172,12 +179,12 @@
   // while there is time.
   const bool part = !connection->in().empty() || (job_ != nullptr && reply_.begun());
   if (!part) return stalled_.Clear();
-  if (!stalled_.armed()) stalled_.After(kWholeWithin, [this] { Stalled(); });
+  if (!stalled_.armed()) stalled_.After(kWholeWithin, [this] { Stalled(false); });
 }
 
-void Backend::Stalled() {
-  // The rest may have come while this loop stood still.
-  if (!Sound()) return stalled_.After(kWholeWithin, [this] { Stalled(); });
+void Backend::Stalled(bool again) {
+  // The rest may have come while this loop stood still. But an answer that goes on for ever has always more.
+  if (!again && !Sound()) return stalled_.After(kWholeWithin, [this] { Stalled(true); });
   Malformed("an answer that does not end");
 }
 
@@ -244,7 +251,7 @@
   const auto self = shared_from_this();
   const std::shared_ptr<Job> job = job_;
   const bool was_ready = ready_;
-  const bool written = connection_->all_written();
+  const bool written = Written();
   Reply reply = std::exchange(reply_, Reply());
   pool_.Remove(*this);
   if (job != nullptr) {
--- a/src/upstream/backend.h
+++ b/src/upstream/backend.h
@@ -63,7 +63,8 @@
   bool idle() const { return ready_ && job_ == nullptr; }
   Time idle_since() const { return idle_since_; }
   bool Sound() const { return !connection_->SomethingCame(); }
-  bool Written() const { return connection_->all_written(); }
+  // Whether the last byte of what it runs has been handed to the kernel.
+  bool Written() const { return asked_ && connection_->all_written(); }
   void Close();
 
  private:
@@ -74,7 +75,7 @@
   bool TakeMessage(char type, std::string_view body);
   void TakeReady();
   void Lost();
-  void Stalled();
+  void Stalled(bool again);
   void Malformed(const char* what);
 
   net::Loop& loop_;
@@ -87,6 +88,7 @@
   std::shared_ptr<Job> job_;
   Reply reply_;
   bool ready_ = false;
+  bool asked_ = false;  // the query of the present job was taken for writing
   Time idle_since_{};
 };
 
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -58,13 +58,14 @@
 }
 
 void Pool::Send(RequestId request, AttemptNumber attempt, MemberId member,
-                std::shared_ptr<const proxy::Work> work, Duration limit) {
+                std::shared_ptr<const proxy::Work> work, proxy::SendTimes times) {
   auto job = std::make_shared<Job>(loop_, member);
   job->request = request;
   job->attempt = attempt;
   job->work = std::move(work);
   attempts_[{request, attempt}] = job;
-  Start(std::move(job), limit);
+  if (times.write_within != Duration::max()) job->write_by = loop_.Now() + times.write_within;
+  Start(std::move(job), times.limit);
 }
 
 void Pool::Probe(MemberId member) {
@@ -83,7 +84,7 @@
   job->limit.Set(job->until, [this, weak] {
     if (const auto held = weak.lock()) GiveUp(held, Outcome::kTimeout);
   });
-  job->connect.Set(job->since + settings_.connect_timeout, [this, weak] {
+  job->connect.Set(std::min(job->since + settings_.connect_timeout, job->write_by), [this, weak] {
     if (const auto held = weak.lock()) EndJob(held, Outcome::kUnreachable);
   });
   server->waiting.push_back(std::move(job));
@@ -103,6 +104,10 @@
   if (backend != nullptr) Dispatch(*server);
 }
 
+void Pool::WrittenLate(const std::shared_ptr<Job>& job) {
+  if (job->backend != nullptr && !job->backend->Written()) GiveUp(job, Outcome::kUnreachable);
+}
+
 void Pool::Cancel(RequestId request, AttemptNumber attempt) {
   const auto it = attempts_.find({request, attempt});
   if (it == attempts_.end()) return;  // its end is on the way
@@ -150,6 +155,12 @@
       }
       const std::shared_ptr<Job> job = server.waiting.front();
       server.waiting.pop_front();
+      // The connection may have come up long after the send was decided, and this loop may have stood still.
+      if (loop_.Precise() >= job->write_by) {
+        server.idle.push_back(backend);
+        EndJob(job, Outcome::kUnreachable);
+        continue;
+      }
       backend->Run(job);
       continue;
     }
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -42,8 +42,9 @@
   Time since{};
   std::optional<Time> written{};  // when it got its connection
   Time until{};
-  net::Timer limit;    // when the pooler stops waiting
-  net::Timer connect;  // when a connection must have been had
+  Time write_by = Time::max();  // its last byte goes out before, or not at all
+  net::Timer limit;             // when the pooler stops waiting
+  net::Timer connect;           // when a connection must have been had, and all be written
   Backend* backend = nullptr;
   bool probe() const { return work == nullptr; }
 };
@@ -65,7 +66,7 @@
   void CloseAllIdle();
 
   void Send(RequestId request, AttemptNumber attempt, MemberId member,
-            std::shared_ptr<const proxy::Work> work, Duration limit) override;
+            std::shared_ptr<const proxy::Work> work, proxy::SendTimes times) override;
   void Cancel(RequestId request, AttemptNumber attempt) override;
   void Probe(MemberId member) override;
   void CloseIdle(MemberId member) override;
@@ -78,6 +79,8 @@
 
   Server* Find(MemberId member);
   void Start(std::shared_ptr<Job> job, Duration limit);
+  // Its last byte has not gone out in time: it must not go out any more.
+  void WrittenLate(const std::shared_ptr<Job>& job);
   void Dispatch(Server& server);
   bool OpenFor(Server& server);
   void Remove(Backend& backend);
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -152,14 +152,17 @@
     {"off", Reports::kNone}, {"inline", Reports::kAnswers}, {"on_probe", Reports::kProbes}};
 const Words<bool> kDiscovery = {{"push", false}, {"ask", true}};
 const Words<bool> kMarks = {{"brought", true}, {"kept", false}};
-const Words<bool> kScopes = {{"all", true}, {"cell", false}, {"zone", false}};
+enum class Scope { kAll, kGroup, kZone };
+const Words<Scope> kScopes = {{"all", Scope::kAll}, {"cell", Scope::kGroup}, {"zone", Scope::kZone}};
 
 RequestClass DecodeClass(const Json& json) {
   RequestClass cls;
   cls.aim = DurationOf(json, "objective_us");
   cls.deadline = DurationOf(json, "deadline_us");
   cls.effect = Word(Text(json, "effect"), kEffects, "effect");
-  cls.repeats_anywhere = Word(TextOr(json, "key_scope", "all"), kScopes, "key_scope");
+  const Scope scope = Word(TextOr(json, "key_scope", "all"), kScopes, "key_scope");
+  cls.repeats_anywhere = scope == Scope::kAll;
+  cls.repeats_in_zone = scope == Scope::kZone;
   cls.repeat_window = DurationOr(json, "repeat_window_us", Duration{0});
   cls.worth = NumberOr(json, "worth", 1);
   cls.late_value = NumberOr(json, "late_value", 0);
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -453,6 +453,152 @@
   CHECK(first.Fault() == 0);
 }
 
+// ---- Data servers that end -------------------------------------------------------------------------------
+
+struct Ends final : proxy::BackendEvents {
+  std::vector<proxy::AttemptEnd> attempts;
+  void OnAttemptEnd(proxy::AttemptEnd end) override { attempts.push_back(std::move(end)); }
+  void OnProbeEnd(const ProbeEvent&) override {}
+};
+
+struct Text final : proxy::Work {
+  std::string TextFor(Duration) const override { return Ask("write"); }
+};
+
+// The window was open when the repeat was decided; its connection comes up when it is not any more.
+TEST_CASE("a repeat whose connection comes up after its window has closed is not written") {
+  net::Loop loop;
+  net::DescriptorBudget budget(100);
+  upstream::Pool pool(loop, {.connect_timeout = Duration(5000000)}, budget, [] { return false; });
+  Ends ends;
+  pool.SetEvents(ends);
+  std::vector<std::unique_ptr<Peer>> peers;
+  Texts queries;
+  net::Listener listener(
+      loop, [] { return true; },
+      [&](net::ObjectPtr<GSocket> socket) {
+        peers.push_back(std::make_unique<Peer>());
+        Peer& peer = *peers.back();
+        peer.server = true;
+        peer.script = [&](Peer&, const std::string& text) { queries.push_back(text); };
+        peer.connection = Connection::Adopt(loop, std::move(socket), peer, 65536, 65536);
+      });
+  REQUIRE(listener.Open({"127.0.0.1", 0}).empty());
+  const auto until = [&](const std::function<bool()>& holds) {
+    while (!holds()) g_main_context_iteration(nullptr, TRUE);
+  };
+  pool.SetAddress(MemberId(1), {"127.0.0.1", listener.port()});
+  const auto work = std::make_shared<Text>();
+  pool.Send(RequestId(1), 1, MemberId(1), work, {Duration(4000000), Duration(30000)});
+  until([&] { return queries.size() == 1; });  // the hello
+  until([&] { return ends.attempts.size() == 1; });
+  CHECK(ends.attempts[0].outcome == Outcome::kUnreachable);
+  peers[0]->Say(Hello());
+  // Up now, for one that may still be written, and for one whose time passes while the loop stands still.
+  pool.Send(RequestId(2), 0, MemberId(1), work, {Duration(4000000)});
+  until([&] { return queries.size() == 2; });
+  peers[0]->Say(Row("v"));
+  until([&] { return ends.attempts.size() == 2; });
+  CHECK(ends.attempts[1].outcome == Outcome::kOk);
+  pool.Send(RequestId(3), 1, MemberId(1), work, {Duration(4000000), Duration(0)});
+  until([&] { return ends.attempts.size() == 3; });
+  CHECK(ends.attempts[2].outcome == Outcome::kUnreachable);
+  CHECK(queries.size() == 2);
+}
+
+// Of each effect, one whose first attempt broke after its last byte, in a window shorter than the deadline.
+TEST_CASE("what may have run is sent again as its class allows: never, within the window, or freely") {
+  const struct {
+    Effect effect;
+    Duration window;
+    std::size_t least, most;
+  } cases[] = {{Effect::kUnsafe, kSecond, 1, 1},
+               {Effect::kKeyed, Duration(1), 1, 1},
+               {Effect::kKeyed, 30 * kSecond, 2, 8},
+               {Effect::kSafe, Duration(1), 2, 8}};
+  for (const auto& c : cases) {
+    CAPTURE(static_cast<int>(c.effect));
+    CAPTURE(c.window.count());
+    Settings settings = Usual();
+    settings.classes[2].effect = c.effect;
+    settings.classes[2].repeat_window = c.window;
+    World w(200, settings);
+    DataServer& server = w.Serve([](Peer& p, const std::string&) { p.connection->Close(); });
+    server.report = "x1=1,x0=1";
+    w.List();
+    Peer& client = w.Client({Ask("write", "k", 2000)});
+    w.Until([&] { return client.Types().ends_with("EZ"); });
+    CHECK(server.queries.size() >= c.least);
+    CHECK(server.queries.size() <= c.most);
+    CHECK(client.Saw("53300") == (c.effect == Effect::kSafe));
+  }
+}
+
+TEST_CASE("an answer and a reset in one turn is an answer, and one that is cut is none") {
+  for (const bool whole : {true, false}) {
+    CAPTURE(whole);
+    World w;
+    int asked = 0;
+    const auto reset = [](Peer& p) {
+      const linger now{1, 0};
+      setsockopt(p.connection->descriptor(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+      p.connection->Close();
+    };
+    w.Serve([&](Peer& p, const std::string&) {
+      if (++asked > 1) return p.Say(Row("2"));
+      p.Say(whole ? Row("1") : Row("1").substr(0, 20));
+      reset(p);
+    });
+    w.List();
+    Peer& client = w.Client({Ask("any", "k", kLong)});
+    w.Until([&] { return client.Types().ends_with("TDCZ"); });
+    CHECK(client.Types().ends_with("KZTDCZ"));  // once
+    // A reset may overtake an answer in the kernel: then it was none, and the second is given.
+    CHECK((client.Saw("\0011C") || client.Saw("\0012C")));
+    if (!whole) CHECK(client.Saw("\0012C"));
+    CHECK(w.proxy.open() == 0);
+  }
+}
+
+TEST_CASE("an answer that goes on for ever is cut, and its request tried again") {
+  Settings patient = Usual();
+  // Or it might be refused for the time it has lost.
+  for (RequestClass& kind : patient.classes) kind.aim = 30 * kSecond;
+  World w(200, patient);
+  Peer* endless = nullptr;
+  w.Serve([&](Peer& p, const std::string&) {
+    if (endless != nullptr) return p.Say(Row("v"));
+    endless = &p;
+  });
+  w.List();
+  net::Timer more(w.loop);
+  std::function<void()> say = [&] {
+    std::string notice;
+    pg::AppendNotice(notice, "more to come");
+    if (endless != nullptr && !endless->ended) endless->Say(notice);
+    more.After(Duration(0), say);  // so that something is unread at every moment
+  };
+  say();
+  Peer& client = w.Client({Ask("any", "k", kLong)});
+  w.Until([&] { return client.Types().ends_with("TDCZ"); });
+  w.Until([&] { return endless->ended; });
+}
+
+TEST_CASE("a data server that drained and is back under its id, with a new start, is used again") {
+  World w;
+  DataServer& server = w.Serve(kAnswer);
+  w.List();
+  w.List(ListKind::kPartial, Lifecycle::kDraining);
+  Peer& refused = w.Client({Ask("any", "k", 300)});
+  w.Until([&] { return refused.Saw("53300"); });
+  ListEvent back{ListKind::kPartial, {}};
+  back.entries.push_back({.member = MemberId(1), .group = GroupId(2), .started = w.loop.Now()});
+  w.proxy.ListChanged(back);
+  Peer& served = w.Client({Ask("any", "k", 3000)});
+  w.Until([&] { return served.Types().ends_with("TDCZ"); });
+  CHECK(server.queries.size() == 1);
+}
+
 // ---- Discovery that goes quiet ---------------------------------------------------------------------------
 
 // An agent that answers each call by its number, and a watch on it.
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -266,5 +266,70 @@
   CHECK(rig.refused == 1);
 }
 
+// The key is known in the zone of the member that may have run it, to its group, or to all.
+TEST_CASE("a write that may have run is repeated within its window, where its key's scope allows") {
+  struct Scope {
+    bool in_zone;
+    ZoneIndex other;  // of the member that is primary by then
+    Duration window;
+    bool sent;
+  };
+  for (const Scope& c : {Scope{false, 1, Duration(900000), true}, Scope{true, 1, Duration(900000), false},
+                         Scope{true, 0, Duration(900000), true}, Scope{false, 0, Duration(250000), false}}) {
+    CAPTURE(c.in_zone);
+    CAPTURE(c.other);
+    CAPTURE(c.window.count());
+    Settings s = Rig::SettingsHere();
+    s.classes[0].kind = ReadKind::kWrite;
+    s.classes[0].effect = Effect::kKeyed;
+    s.classes[0].repeats_anywhere = false;
+    s.classes[0].repeats_in_zone = c.in_zone;
+    s.classes[0].repeat_window = c.window;
+    s.classes[0].aim = Duration(1200000);
+    Balancer balancer(s, 3);
+    Time now{Duration(1000000000)};
+    std::multimap<Time, TimerId> due;
+    std::vector<Send> sends;
+    const auto feed = [&](const Event& event) {
+      Actions actions;
+      balancer.Handle(now, event, actions);
+      for (const Action& action : actions) {
+        if (const auto* timer = std::get_if<SetTimer>(&action)) due.emplace(now + timer->delay, timer->id);
+        if (const auto* send = std::get_if<Send>(&action)) sends.push_back(*send);
+      }
+    };
+    feed(ListEvent{ListKind::kPersisted,
+                   {{.member = kFirst, .group = GroupId(1), .zone = 0},
+                    {.member = kSecond, .group = GroupId(1), .zone = c.other}}});
+    RequestEvent ask;
+    ask.id = RequestId(1);
+    ask.group = GroupId(1);
+    ask.time_left = Duration(1200000);
+    feed(ask);
+    REQUIRE(sends.size() == 1);
+    const MemberId ran = sends[0].member, other = ran == kFirst ? kSecond : kFirst;
+    const Time sent = now;
+    now += Duration(300000);
+    feed(OutcomeEvent{.id = RequestId(1), .member = ran, .outcome = Outcome::kBroken, .taken = now - sent});
+    // Another write shows that the other member is the primary now.
+    feed(ProbeEvent{other, Outcome::kOk, Duration(1000), Report{.position = now, .primary = true}});
+    while (!due.empty() && due.begin()->first < sent + Duration(1150000)) {
+      const auto [when, id] = *due.begin();
+      due.erase(due.begin());
+      now = std::max(now, when);
+      feed(TimerEvent{id});
+    }
+    std::size_t there = 0;
+    for (std::size_t i = 1; i < sends.size(); ++i) {
+      there += sends[i].member == other;
+      // It says until when the repeat may be written: within the window of the first.
+      CHECK(sends[i].write_within <= c.window - Duration(300000));
+      CHECK(sends[i].write_within > Duration(0));
+    }
+    CHECK((there > 0) == c.sent);
+    CHECK(sends[0].write_within == Duration::max());
+  }
+}
+
 }  // namespace
 }  // namespace lynxgrade
