Begin no attempt of a request that is over, also where cancels are not allowed

Cause: Proxy::Withdraw left it to the module to call attempts off, which it may only where the settings allow cancels. An attempt that waited for its connection was then written when that came up, up to connect_timeout after its client had closed, or after the request's final answer. Ruled out: attempts that are written (nothing to take back), jobs of other requests.

--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -78,6 +78,9 @@
   virtual void Send(RequestId request, AttemptNumber attempt, MemberId member,
                     std::shared_ptr<const Work> work, SendTimes times) = 0;
   virtual void Cancel(RequestId request, AttemptNumber attempt) = 0;
+  // The request is over: of its attempts, those that have not begun to be written never will be. They end as
+  // void.
+  virtual void Drop(RequestId request) = 0;
   virtual void Probe(MemberId member) = 0;
   virtual void CloseIdle(MemberId member) = 0;
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -92,6 +92,9 @@
   ++counts_.withdrawn;
   keeper_.Over(request);
   Feed(GoneEvent{request});
+  // Where the settings allow no cancels the module calls nothing off: an attempt that waits for its
+  // connection would begin long after the client has gone.
+  backends_.Drop(request);
 }
 
 void Proxy::GiveUp(RequestId request) {
@@ -107,6 +110,7 @@
   if (client == nullptr) return;
   keeper_.Over(request);
   Feed(GoneEvent{request});
+  backends_.Drop(request);
   ++(sent ? counts_.failed : counts_.refused);
   sent ? client->Failed() : client->Refused(turned_away_);
 }
@@ -137,6 +141,7 @@
       requests_.erase(it);
     } else {
       Feed(GoneEvent{turned.id});
+      backends_.Drop(turned.id);
     }
     if (client == nullptr) continue;
     ++counts_.refused;
@@ -184,8 +189,10 @@
     }
   }
   outcome.request_done = Over(end.request);
-  if (outcome.request_done) keeper_.Over(end.request);
+  const bool over = outcome.request_done;
+  if (over) keeper_.Over(end.request);
   Feed(std::move(event));
+  if (over) backends_.Drop(end.request);
 }
 
 void Proxy::OnProbeEnd(const ProbeEvent& probe) {
@@ -249,6 +256,7 @@
 void Proxy::Do(const Refuse& action) {
   Client* client = Close(action.id);
   requests_.erase(action.id);
+  backends_.Drop(action.id);
   if (client == nullptr) return;
   ++counts_.refused;
   client->Refused(action.stay_away);
@@ -257,6 +265,7 @@
 void Proxy::Do(const Fail& action) {
   Client* client = Close(action.id);
   requests_.erase(action.id);
+  backends_.Drop(action.id);
   if (client == nullptr) return;
   ++counts_.failed;
   client->Failed();
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -114,6 +114,15 @@
   GiveUp(std::shared_ptr<Job>(it->second), Outcome::kCancelled);
 }
 
+void Pool::Drop(RequestId request) {
+  std::vector<std::shared_ptr<Job>> waiting;
+  for (auto it = attempts_.lower_bound({request, 0}); it != attempts_.end(); ++it) {
+    if (it->first.first != request) break;
+    if (it->second->backend == nullptr) waiting.push_back(it->second);
+  }
+  for (const auto& job : waiting) EndJob(job, Outcome::kVoid);
+}
+
 void Pool::EndJob(const std::shared_ptr<Job>& job, Outcome outcome, Note note, std::optional<Report> report,
                   std::optional<proxy::Answer> answer, bool unusable) {
   const std::shared_ptr<Job> held = job;
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -68,6 +68,7 @@
   void Send(RequestId request, AttemptNumber attempt, MemberId member,
             std::shared_ptr<const proxy::Work> work, proxy::SendTimes times) override;
   void Cancel(RequestId request, AttemptNumber attempt) override;
+  void Drop(RequestId request) override;
   void Probe(MemberId member) override;
   void CloseIdle(MemberId member) override;
 
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <filesystem>
 #include <thread>
 
 #include "world.h"
@@ -217,6 +218,29 @@
     CHECK(server.queries[i].find("'gone'") == std::string::npos);
 }
 
+// Where nothing may be called off, what has not begun must not begin all the same.
+TEST_CASE("an attempt whose connection comes up after its client has closed is not written") {
+  for (const bool may_cancel : {false, true}) {
+    CAPTURE(may_cancel);
+    Settings settings = Usual();
+    settings.may_cancel = may_cancel;
+    settings.reports = Reports::kNone;
+    World w(200, settings);
+    DataServer& server = w.Serve(kAnswer);
+    server.greets = false;
+    w.List();
+    Peer& client = w.Client({Ask("any", "k", kLong)});
+    w.Until([&] { return !server.peers.empty() && server.peers[0]->started; });
+    client.connection->Close();
+    w.Until([&] { return w.proxy.counts().withdrawn == 1; });
+    for (const auto& peer : server.peers) peer->Say(Hello());
+    server.greets = true;
+    Peer& other = w.Client({Ask("any", "2", kLong)});  // comes after, on the same connection or a new one
+    w.Until([&] { return other.Types().ends_with("TDCZ"); });
+    CHECK(server.queries.size() == 1);
+  }
+}
+
 TEST_CASE("hundreds of connections that send much and go in one segment cost the others nothing") {
   World w(1000);
   DataServer& server = w.Serve([](Peer& p, const std::string& text) {
@@ -823,6 +847,10 @@
   w.Until([&] { return program.world.clients.back()->Types().ends_with("IZ"); });
   Peer& before = program.Client({Ask("any")});
   w.Until([&] { return before.Types().ends_with("TDCZ"); });
+  // What clients cannot have stays free for the watch, and for the program's own.
+  const auto held = std::distance(std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/fd"),
+                                  std::filesystem::directory_iterator());
+  CHECK(held <= 90);
   // It returns, while clients go on to fill what is free.
   std::vector<std::unique_ptr<Peer>> agents;
   net::Listener agent(
--- a/tests/world.h
+++ b/tests/world.h
@@ -110,7 +110,7 @@
     auto peer = std::make_unique<Peer>();
     peer->server = true;
     peer->script = [this](Peer& p, const std::string& text) {
-      if (text == "hello") return p.Say(Hello());
+      if (text == "hello") return greets ? p.Say(Hello()) : void();
       if (text == "SHOW pressure") return p.Say(Row(report));
       queries.push_back(text);
       script(p, text);
@@ -121,6 +121,7 @@
   net::Loop& loop;
   Script script;
   net::Listener listener;
+  bool greets = true;  // else its connections come up when the test says so
   std::string report = "x1=0,x0=1";
   std::vector<std::unique_ptr<Peer>> peers;
   Texts queries;
