Close a message that trickles on in time, though something has always just come

Found by reading the change again. Change: only a connection with nothing in its ring is put off, once; a message that was begun has had its time.

--- a/src/front/session.cpp
+++ b/src/front/session.cpp
@@ -85,9 +85,11 @@
 
 void Session::Expire() {
   if (shelf_ == Shelf::kLeaving || shelf_ == Shelf::kUnread) return Close();
-  // What has come is read in this turn or the next: it is owed an answer, not a close.
-  if (connection_->SomethingCame()) return front_.Place(*this, *shelf_);
-  if (connection_->in().empty()) return Leave();
+  if (connection_->in().empty()) {
+    // What has come is read in this turn or the next: it is owed an answer, not a close. But a message that
+    // was begun has had its time, however it trickles on.
+    return connection_->SomethingCame() ? front_.Place(*this, *shelf_) : Leave();
+  }
   if (front_.leaving()) return Fatal("57P03", "the pooler is stopping");
   Fatal("08P01", "a message was begun and not ended in time");
 }
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -241,6 +241,24 @@
   }
 }
 
+TEST_CASE(
+    "a message that trickles on without an end is closed in time, though something has always just come") {
+  World w;
+  w.Serve(kAnswer);
+  w.List();
+  Peer& client = w.Client({});
+  client.Say("Q\0\2\0\0"s + "/* id=");
+  net::Timer more(w.loop);
+  std::function<void()> say = [&] {
+    if (client.ended) return;
+    client.Say("x");
+    more.After(Duration(100), say);  // so that a byte lies unread at every sweep
+  };
+  say();
+  w.Until([&] { return client.ended; });
+  CHECK(client.Saw("08P01"));
+}
+
 TEST_CASE("hundreds of connections that send much and go in one segment cost the others nothing") {
   World w(1000);
   DataServer& server = w.Serve([](Peer& p, const std::string& text) {
