End the start on malformed zones, limits and idle times, with a sentence that names the field

Seen with seventeen malformed fields, one by one: 'zones' as a word and 'limits' as a number were taken for absent, and an idle time that is no number ended the start with a sentence that named nothing. The other fields end it as they should. Ruled out: a last known list that cannot be read; it is logged and the start goes on, as discovery tells the list anew. Change: config.cpp checks the three.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -22,6 +22,7 @@
 std::vector<std::string> Names(const Json& settings, const char* field, bool of_objects) {
   std::vector<std::string> names;
   if (!settings.contains(field)) return names;
+  if (!settings[field].is_array()) throw std::runtime_error(std::string("'") + field + "' is not an array");
   for (const Json& item : settings[field]) {
     if (!of_objects && !item.is_string()) {
       throw std::runtime_error(std::string("'") + field + "' holds no names");
@@ -54,7 +55,8 @@
   config.discovery = AddressIn(json, "discovery");
   config.seed = Seed(Name(json, "seed"));
   const Json limits = json.value("limits", Json::object());
-  if (limits.is_object() && limits.contains("sockets")) {
+  if (!limits.is_object()) throw std::runtime_error("'limits' is not an object");
+  if (limits.contains("sockets")) {
     const Json& sockets = limits["sockets"];
     if (!sockets.is_number_integer() || sockets.get<std::int64_t>() < 16) {
       throw std::runtime_error("'sockets' is not a whole number of at least 16");
@@ -71,7 +73,13 @@
   config.tenants = Names(settings, "customers", true);
   config.zones = Names(settings, "zones", false);
   const Json own_limits = settings.value("limits", Json::object());
-  config.idle = Duration(own_limits.value("conn_idle_us", config.idle.count()));
+  if (own_limits.contains("conn_idle_us")) {
+    const Json& idle = own_limits["conn_idle_us"];
+    if (!idle.is_number_integer() || idle.get<std::int64_t>() <= 0) {
+      throw std::runtime_error("'conn_idle_us' is not a whole number above 0");
+    }
+    config.idle = Duration(idle.get<std::int64_t>());
+  }
   if (json.contains("known")) config.known = json["known"].dump();
   return config;
 }
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -4,9 +4,11 @@
 #include <netinet/in.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <chrono>
+#include <cstring>
 #include <filesystem>
 #include <thread>
 
@@ -791,6 +793,50 @@
   CHECK_FALSE(program.over);
 }
 
+TEST_CASE("a malformed field of the configuration ends the start with one sentence that names it") {
+  World w;
+  Program program(w);
+  const std::string sound = program.Config("127.0.0.1:1", kNoList);
+  const struct {
+    const char *old, *now, *named;
+  } cases[] = {
+      {R"("max_attempts":8)", R"("max_attempts":-1)", "max_attempts"},
+      {R"("max_attempts":8)", R"("conn_idle_us":"long")", "conn_idle_us"},
+      {R"("max_attempts":8)", R"("conn_idle_us":0)", "conn_idle_us"},
+      {R"("max_attempts":8)", R"("connect_timeout_us":[])", "connect_timeout_us"},
+      {R"("deadline_us":4000000)", R"("deadline_us":null)", "deadline_us"},
+      {R"("idempotent")", R"("sometimes")", "effect"},
+      {R"("idempotent")", R"("idempotent","key_scope":"world")", "key_scope"},
+      {R"(["eventual"])", R"(["never"])", "class_read"},
+      {R"("customers":[{"name":"acme"}])", R"("customers":{})", "customers"},
+      {R"("customers":[)", R"("zones":"a","customers":[)", "zones"},
+      {R"("customers":[)", R"("rules":{"drain_grace_us":"2s"},"customers":[)", "drain_grace_us"},
+      {R"("customers":[)", R"("peers_total":1.5,"customers":[)", "peers_total"},
+      {R"("seed":"1f")", R"("seed":"zz")", "seed"},
+      {R"("seed":"1f")", R"("limits":7,"seed":"1f")", "limits"},
+      {R"("seed":"1f")", R"("limits":{"sockets":-1},"seed":"1f")", "sockets"},
+  };
+  for (const auto& c : cases) {
+    CAPTURE(c.now);
+    std::string config = sound;
+    REQUIRE(config.find(c.old) != std::string::npos);
+    config.replace(config.find(c.old), std::strlen(c.old), c.now);
+    program.Configure(config);
+    g_setenv("RELAY_CONFIG", (program.folder + "/config.json").c_str(), TRUE);
+    gchar *out = nullptr, *error = nullptr;
+    gint status = 0;
+    gchar* argv[] = {const_cast<gchar*>(POOLER), nullptr};
+    REQUIRE(g_spawn_sync(nullptr, argv, nullptr, G_SPAWN_DEFAULT, nullptr, nullptr, &out, &error, &status,
+                         nullptr));
+    const std::string said = error;
+    g_free(out);
+    g_free(error);
+    CHECK(WEXITSTATUS(status) == 2);
+    CHECK(std::ranges::count(said, '\n') == 1);
+    CHECK(said.find(c.named) != std::string::npos);
+  }
+}
+
 TEST_CASE("a program that knows nobody, with discovery down, is ready in time and refuses with advice") {
   World w;
   std::uint16_t closed = 0;
