--- a/src/discovery/list_text.h
+++ b/src/discovery/list_text.h
@@ -24,9 +24,9 @@
   void End();
   // The next whole piece, the first to come first.
   std::optional<Piece> Take();
-  void Clear();
 
  private:
+  void Clear();
   void EndLine();
   void Scan(char c);
 
--- a/src/fleet/call_waits.h
+++ b/src/fleet/call_waits.h
@@ -22,8 +22,6 @@
   Duration silence() const;
   // For a call, from its start to the head of the answer.
   Duration call() const { return call_; }
-  // The time from a change, or from the last sign of life, to when its list must be known.
-  Duration allowed() const { return allowed_; }
   // What a call that comes through may still take.
   Duration answer() const { return answer_; }
 
@@ -36,7 +34,7 @@
 
  private:
   Duration answer_;
-  Duration allowed_;
+  Duration allowed_;  // from a change, or from the last sign of life, to when its list must be known
   Duration call_;
   Backoff backoff_;
 };
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -839,13 +839,7 @@
 
 TEST_CASE("a program that knows nobody, with discovery down, is ready in time and refuses with advice") {
   World w;
-  std::uint16_t closed = 0;
-  {
-    net::Listener gone(
-        w.loop, [] { return true; }, [](net::ObjectPtr<GSocket>) {});
-    REQUIRE(gone.Open({"127.0.0.1", 0}).empty());
-    closed = gone.port();
-  }
+  const std::uint16_t closed = ClosedPort(w.loop);
   Program program(w);
   program.Configure(program.Config("127.0.0.1:" + std::to_string(closed), kNoList));
   program.Start();
@@ -882,13 +876,7 @@
     "clients that fill the descriptors while discovery is down do not keep its word out at its return") {
   World w(2000);
   DataServer& server = w.Serve(kAnswer);
-  std::uint16_t port = 0;
-  {
-    net::Listener later(
-        w.loop, [] { return true; }, [](net::ObjectPtr<GSocket>) {});
-    REQUIRE(later.Open({"127.0.0.1", 0}).empty());
-    port = later.port();
-  }
+  const std::uint16_t port = ClosedPort(w.loop);
   const std::string known = R"({"rev":41,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:)" +
                             std::to_string(server.listener.port()) +
                             R"(","az":"a","pod_group":2,"state":"Ready"}]})";
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -521,13 +521,7 @@
   World w;
   w.Serve(kAnswer);
   w.List();
-  std::uint16_t closed = 0;
-  {
-    net::Listener gone(
-        w.loop, [] { return true; }, [](net::ObjectPtr<GSocket>) {});
-    REQUIRE(gone.Open({"127.0.0.1", 0}).empty());
-    closed = gone.port();
-  }
+  const std::uint16_t closed = ClosedPort(w.loop);
   discovery::RosterReader reader({"a"});
   const Logged logged;
   discovery::Watch watch(w.loop, {"127.0.0.1", closed}, reader, 41, 1, {},
--- a/tests/world.h
+++ b/tests/world.h
@@ -231,6 +231,14 @@
   p.Say(Row(text.substr(text.rfind('\'') - 1, 1)));
 };
 
+// A port at which connections are refused.
+inline std::uint16_t ClosedPort(net::Loop& loop) {
+  net::Listener gone(
+      loop, [] { return true; }, [](net::ObjectPtr<GSocket>) {});
+  REQUIRE(gone.Open({"127.0.0.1", 0}).empty());
+  return gone.port();
+}
+
 // Discovery's agent: keeps what each watch asks and answers with `line`.
 struct Agent {
   explicit Agent(net::Loop& loop)
