Count a request's time from when its last byte came, not from when it is taken up

Cause: 'd' and the time of a request run from its last byte, but Session::TakeRequest gave a request that had waited in the ring behind others its whole 'd' anew. Ruled out: the module's end timer (it keeps the time that it is given) and the order of answers. Change: net::Arrivals keeps when the bytes of the ring came; what the kernel held while reading was paused is looked at every 40 ms, and what comes in a late pass, after a stop or from the accept queue is asked of the kernel (TCP_INFO) within what the loop knows. The module gets what was waited: a request that is over is turned away at once and never sent on. The same fault in a cancel's time (from accept) and in a message in pieces (from when it was looked at) is mended too. The test of a program without a list opened a connection a look, 20,000 on a quick machine, its limit; it uses one now. Result: times_test, 10 cases.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -488,7 +488,7 @@
   // Half of a client's time is its own: where nobody could be asked by then, it is better told when to come
   // back.
   bool HeldTooLong(const Request& r) const {
-    if (now_ + kPause < r.arrived + r.ask.time_left / 2) return false;
+    if (now_ + kPause < r.arrived + (r.deadline - r.arrived) / 2) return false;
     return std::ranges::none_of(r.attempts, [](const Attempt& a) { return a.arrived; });
   }
 
@@ -675,10 +675,10 @@
     }
     Request& r = requests_[event.id];
     r.ask = event;
-    r.arrived = now_;
+    r.arrived = now_ - event.waited;
     estimate::FirstTry& first = first_tries_[event.cls];
-    r.asked = now_ - first.Age(Class(r).deadline, event.time_left, event.repeat);
     r.deadline = now_ + event.time_left;
+    r.asked = r.arrived - first.Age(Class(r).deadline, r.deadline - r.arrived, event.repeat);
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryShare);
     probe_tokens_ += std::min({kFreeProbes, kProbePoints / s_.price_probe, kRetryBurst - probe_tokens_});
     Group& g = groups_[event.group];
--- a/src/balance.h
+++ b/src/balance.h
@@ -144,7 +144,8 @@
   std::optional<Position> target{};  // kSession: what the data must hold; from src/session/
   bool proven_only = false;          // and it goes to nobody who is not proven to, whoever checks
   std::optional<Time> arrived{};     // where it was held back before the module heard of it
-  Duration time_left{0};
+  Duration waited{0};                // of its client's time, from its last byte until the module hears of it
+  Duration time_left{0};             // from then on; none where it is over
 };
 
 struct OutcomeEvent {
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -75,19 +75,19 @@
 void Front::Accepted(net::ObjectPtr<GSocket> socket) {
   auto session = std::make_shared<Session>(*this, budget_);
   sessions_.emplace(session.get(), session);
-  Place(*session, Session::Shelf::kSilent);
-  session->Begin(std::move(socket));
+  Place(*session, Session::Shelf::kSilent, loop_.Now());
+  session->Begin(std::move(socket), listener_.queued_since());
 }
 
-void Front::Place(Session& session, Session::Shelf shelf) {
+void Front::Place(Session& session, Session::Shelf shelf, Time since) {
   Shelf& to = shelves_[static_cast<std::size_t>(shelf)];
-  if (session.shelf_) {
-    to.splice(to.end(), shelves_[static_cast<std::size_t>(*session.shelf_)], session.place_);
-  } else {
-    session.place_ = to.insert(to.end(), &session);
-  }
+  if (session.shelf_) shelves_[static_cast<std::size_t>(*session.shelf_)].erase(session.place_);
+  // Nearly all come last.
+  auto place = to.end();
+  while (place != to.begin() && (*std::prev(place))->since_ > since) --place;
+  session.place_ = to.insert(place, &session);
   session.shelf_ = shelf;
-  session.since_ = loop_.Now();
+  session.since_ = since;
 }
 
 void Front::Closed(Session& session) {
@@ -128,11 +128,11 @@
   return last_number_;
 }
 
-void Front::Cancel(std::uint32_t process, std::uint32_t secret, Time accepted) {
+void Front::Cancel(std::uint32_t process, std::uint32_t secret, Time came) {
   const auto it = keys_.find(process);
   if (it == keys_.end()) return;
   const auto held = sessions_.at(it->second);
-  held->Cancel(secret, accepted);
+  held->Cancel(secret, came);
 }
 
 void Front::CloseAfter(Session::Shelf shelf, Duration time) {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -43,8 +43,8 @@
 
   bool MayAccept();
   void Accepted(net::ObjectPtr<GSocket> socket);
-  // Puts a session at the end of the shelf for its state, from now on.
-  void Place(Session& session, Session::Shelf shelf);
+  // Puts a session on the shelf for its state, where it has stood since then.
+  void Place(Session& session, Session::Shelf shelf, Time since);
   void Sweep();
   // Closes those on a shelf that have stood there for so long.
   void CloseAfter(Session::Shelf shelf, Duration time);
@@ -55,7 +55,7 @@
   void Closed(Session& session);
   // A key for CancelRequest that no other open connection has.
   std::uint32_t NewKey(Session& session);
-  void Cancel(std::uint32_t process, std::uint32_t secret, Time accepted);
+  void Cancel(std::uint32_t process, std::uint32_t secret, Time came);
   bool leaving() const { return leaving_; }
   // The time that a request may take: less than its client gives it, where this program ends before.
   Duration Within(Duration budget) const;
--- a/src/front/session.cpp
+++ b/src/front/session.cpp
@@ -64,10 +64,10 @@
 Session::Session(Front& front, net::DescriptorBudget& budget)
     : front_(front), slot_(budget.clients()), again_(front.loop_), look_(front.loop_) {}
 
-void Session::Begin(net::ObjectPtr<GSocket> socket) {
-  accepted_ = front_.loop_.Now();
+void Session::Begin(net::ObjectPtr<GSocket> socket, Time queued_since) {
   connection_ =
       net::Connection::Adopt(front_.loop_, std::move(socket), *this, pg::kRingLimit, pg::kRingLimit);
+  connection_->KeepArrivals(queued_since);
 }
 
 void Session::Close() {
@@ -88,7 +88,7 @@
   if (connection_->in().empty()) {
     // What has come is read in this turn or the next: it is owed an answer, not a close. But a message that
     // was begun has had its time, however it trickles on.
-    return connection_->SomethingCame() ? front_.Place(*this, *shelf_) : Leave();
+    return connection_->SomethingCame() ? front_.Place(*this, *shelf_, front_.loop_.Now()) : Leave();
   }
   if (front_.leaving()) return Fatal("57P03", "the pooler is stopping");
   Fatal("08P01", "a message was begun and not ended in time");
@@ -102,10 +102,10 @@
   Shelve();
 }
 
-// A CancelRequest that was on its way before this request was taken, or before the one ahead of it was
-// answered, means an earlier one.
-void Session::Cancel(std::uint32_t secret, Time accepted) {
-  if (secret != secret_ || state_ != State::kAsking || accepted < cancels_from_) return;
+// A CancelRequest that had come before this request was taken, or before the one ahead of it was answered,
+// means an earlier one.
+void Session::Cancel(std::uint32_t secret, Time came) {
+  if (secret != secret_ || state_ != State::kAsking || came < cancels_from_) return;
   front_.proxy_.Withdraw(request_);
   AnswerError("57014", "canceling statement due to user request");
 }
@@ -126,7 +126,7 @@
   if (connection->closed()) return;
   if (state_ == State::kLeaving) {
     thrown_away_ += connection->in().size();
-    connection->in().Consume(connection->in().size());
+    connection->Consume(connection->in().size());
     if (connection->peer_done() || thrown_away_ > kThrownAway) return Close();
   }
   const bool later = again_.armed();
@@ -134,7 +134,10 @@
     return Close();
   }
   Shelve();
-  if (connection->in().room() > 0) connection->ResumeReading();
+  if (connection->in().room() > 0 && connection->paused()) {
+    read_from_ = front_.loop_.Now();
+    connection->ResumeReading();
+  }
   const bool unheard = connection->peer_done() || connection->in().room() == 0;
   if (state_ == State::kAsking && unheard && !look_.armed()) {
     look_.After(kLookEvery, [this] { Look(); });
@@ -149,6 +152,7 @@
   if (state_ != State::kAsking) return;
   std::string notice;
   pg::AppendNotice(notice, "still at work");
+  connection_->LookAhead();
   look_.After(kLookEvery, [this] { Look(); });
   Write(notice);
 }
@@ -174,7 +178,15 @@
   } else if (state_ == State::kStartup || !connection_->in().empty()) {
     shelf = Shelf::kSilent;
   }
-  if (shelf != shelf_ || shelf == Shelf::kIdle) front_.Place(*this, shelf);
+  const Time now = front_.loop_.Now();
+  if (shelf == Shelf::kSilent && state_ != State::kStartup) {
+    // From its first byte, which may have come while the request before it was served; but not from before
+    // its rest could be read.
+    const Time began = std::max(connection_->CameAt(0), read_from_);
+    if (shelf != shelf_ || began != since_) front_.Place(*this, shelf, began);
+  } else if (shelf != shelf_ || shelf == Shelf::kIdle) {
+    front_.Place(*this, shelf, now);
+  }
 }
 
 void Session::OnWritten() { Work(); }
@@ -194,14 +206,15 @@
     return false;
   }
   const pg::Startup startup = pg::ReadStartup(frame.body);
-  connection_->in().Consume(frame.size);
+  came_ = connection_->CameAt(frame.size - 1);
+  connection_->Consume(frame.size);
   switch (startup.kind) {
     case pg::StartupKind::kSsl:
     case pg::StartupKind::kGssEncryption:
       Write("N");
       return true;
     case pg::StartupKind::kCancel:  // answered by a close alone, whether or not the key is anybody's
-      front_.Cancel(startup.process, startup.secret, accepted_);
+      front_.Cancel(startup.process, startup.secret, came_);
       Leave();
       return false;
     case pg::StartupKind::kUnsupported:
@@ -257,8 +270,9 @@
     Fatal("08P01", "a query without its end");
     return false;
   }
+  came_ = connection_->CameAt(frame.size - 1);
   TakeQuery(*text);
-  if (!connection_->closed()) connection_->in().Consume(frame.size);
+  if (!connection_->closed()) connection_->Consume(frame.size);
   return true;
 }
 
@@ -314,7 +328,10 @@
     ask.event.target = std::min(after, front_.loop_.Now());
   }
   ask.event.repeat = comment.retry;
-  ask.event.time_left = front_.Within(std::chrono::milliseconds(*comment.budget_ms));
+  // Its client's time has run since its last byte came, however long it waited here behind others. Where that
+  // is over the module turns it away at once.
+  ask.event.waited = std::max(Duration{0}, front_.loop_.Now() - came_);
+  ask.event.time_left = front_.Within(std::chrono::milliseconds(*comment.budget_ms) - ask.event.waited);
   ask.work = work;
   state_ = State::kAsking;
   cancels_from_ = std::max(front_.loop_.Now(), answered_ + Duration(1));
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -3,12 +3,25 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <charconv>
+#include <cstddef>
+#include <utility>
 
 namespace lynxgrade::net {
 namespace {
 
 constexpr int kReadsPerWake = 4;  // a busy peer must not starve the others
+constexpr Duration kLate{5000};   // what may have come longer ago than this is worth asking the kernel for
+
+// How long ago the newest byte came, as the kernel has it; nothing where it does not say.
+std::optional<Duration> SinceNewest(int descriptor) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
+  if (size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) return std::nullopt;
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
 
 }  // namespace
 
@@ -124,6 +137,7 @@
     const gssize count = g_socket_receive(socket_.get(), span.data, span.size, nullptr, error.out());
     if (count > 0) {
       in_.Commit(static_cast<std::size_t>(count));
+      if (keeps_arrivals_) KeepArrival(static_cast<std::size_t>(count));
       came = true;
       if (static_cast<std::size_t>(count) < span.size) break;
       continue;
@@ -175,14 +189,54 @@
   Flush();
 }
 
+void Connection::KeepArrivals(Time from) {
+  keeps_arrivals_ = true;
+  looked_ = from;
+}
+
+void Connection::Consume(std::size_t count) {
+  in_.Consume(count);
+  arrivals_.Consume(count);
+}
+
+void Connection::KeepArrival(std::size_t count) {
+  while (count > 0 && ahead_.size() > 0) {
+    const std::size_t part = std::min(count, ahead_.First());
+    arrivals_.Came(part, ahead_.At(0));
+    ahead_.Consume(part);
+    count -= part;
+  }
+  if (count == 0) return;
+  const Time now = loop_.Now();
+  Time at = loop_.Since();
+  if (looked_ != Time{}) at = std::min(at, std::exchange(looked_, Time{}));
+  if (now - at >= kLate) {
+    if (const auto ago = SinceNewest(descriptor())) at = std::clamp(now - *ago, at, now);
+  }
+  arrivals_.Came(count, at);
+}
+
+void Connection::LookAhead() {
+  if (!paused_ || !keeps_arrivals_ || closed()) return;
+  const gssize there = g_socket_get_available_bytes(socket_.get());
+  if (there < 0) return;  // not to be told: all of it may have come since the last look
+  const Time now = loop_.Now();
+  const auto count = static_cast<std::size_t>(there);
+  if (count > ahead_.size()) ahead_.Came(count - ahead_.size(), std::min(looked_, now));
+  looked_ = now;
+}
+
 void Connection::PauseReading() {
   if (paused_) return;
   paused_ = true;
+  looked_ = loop_.Since();
+  LookAhead();
   Watch();
 }
 
 void Connection::ResumeReading() {
   if (!paused_) return;
+  LookAhead();
   paused_ = false;
   Watch();
 }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/arrivals.h"
 #include "net/glib_ptr.h"
 #include "net/loop.h"
 #include "net/ring_buffer.h"
@@ -49,7 +50,17 @@
   Connection& operator=(const Connection&) = delete;
 
   RingBuffer& in() { return in_; }
+  // From now on it is kept when what is in the ring has come; `from`: the first of it no earlier than this.
+  void KeepArrivals(Time from);
+  // When the byte at `offset` of the ring has come, as far as can be told; never later than it did by more
+  // than the kernel's clock ticks.
+  Time CameAt(std::size_t offset) const { return arrivals_.At(offset); }
+  // Takes `count` bytes out of the ring.
+  void Consume(std::size_t count);
+  // While reading is paused: looks how much has come meanwhile, so that it is known from when it is.
+  void LookAhead();
   bool up() const { return up_; }
+  bool paused() const { return paused_; }
   bool closed() const { return socket_ == nullptr; }
   int descriptor() const { return closed() ? -1 : g_socket_get_fd(socket_.get()); }
   bool peer_done() const { return peer_done_; }
@@ -72,6 +83,8 @@
   Connection(Loop& loop, ObjectPtr<GSocket> socket, Owner& owner, std::size_t in_limit,
              std::size_t out_limit);
   void OnEvents(std::uint32_t events) override;
+  // Bytes that have just been read.
+  void KeepArrival(std::size_t count);
   // Tells the poller what this connection waits for now.
   void Watch();
   void Unwatch();
@@ -85,6 +98,10 @@
   Owner* owner_;
   RingBuffer in_;
   RingBuffer out_;
+  bool keeps_arrivals_ = false;
+  Arrivals arrivals_;  // of what is in the ring
+  Arrivals ahead_;     // of what was seen in the kernel while reading was paused
+  Time looked_{};      // what is not in `ahead_` has come after this; zero: as the loop says
   std::optional<std::uint32_t> watched_;  // what the poller was told
   bool writing_ = false;                  // room to write is waited for: to be up, or to send the rest
   bool up_ = false;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -46,6 +46,8 @@
 }
 
 void Listener::Accept(int most) {
+  if (!left_) queued_since_ = loop_.Since();
+  left_ = true;
   for (int i = 0; i < most && socket_ != nullptr; ++i) {
     if (!may_()) return PauseAWhile();
     ErrorSlot error;
@@ -54,7 +56,10 @@
       accepted_(std::move(client));
       continue;
     }
-    if (error.Is(G_IO_ERROR_WOULD_BLOCK)) return;
+    if (error.Is(G_IO_ERROR_WOULD_BLOCK)) {
+      left_ = false;
+      return;
+    }
     // Out of descriptors: the connection stays queued and readable, so look again later, not in a spin.
     spdlog::warn("accept failed: {}", error.text());
     return PauseAWhile();
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -16,7 +16,7 @@
   using Accepted = std::function<void(ObjectPtr<GSocket>)>;
 
   Listener(Loop& loop, MayAccept may, Accepted accepted)
-      : may_(std::move(may)), accepted_(std::move(accepted)), again_(loop) {}
+      : loop_(loop), may_(std::move(may)), accepted_(std::move(accepted)), again_(loop) {}
 
   // An empty text, or what is wrong with the address.
   std::string Open(const Address& address);
@@ -24,6 +24,8 @@
   void Close();
   bool open() const { return socket_ != nullptr; }
   std::uint16_t port() const;
+  // What is being accepted has waited in the kernel's queue no longer than since then.
+  Time queued_since() const { return queued_since_; }
 
  private:
   static gboolean Ready(GSocket*, GIOCondition, gpointer self);
@@ -31,11 +33,14 @@
   void Watch();
   void PauseAWhile();
 
+  Loop& loop_;
   MayAccept may_;
   Accepted accepted_;
   ObjectPtr<GSocket> socket_;
   SourcePtr source_;
   Timer again_;
+  Time queued_since_{};
+  bool left_ = false;  // the queue was not empty when it was last left
 };
 
 }  // namespace lynxgrade::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -9,6 +9,9 @@
 Loop* g_loop = nullptr;
 std::chrono::steady_clock::time_point SteadyNow() { return std::chrono::steady_clock::now(); }
 
+constexpr Duration kAtOnce{100};      // a poll that returns within this has found what was there before
+constexpr Duration kOverslept{5000};  // and one that returns so much later than asked for was held up
+
 GSourceFuncs kPlainSource = {
     nullptr, nullptr, [](GSource*, GSourceFunc call, gpointer data) { return call(data); },
     nullptr, nullptr, nullptr};
@@ -18,7 +21,8 @@
 Loop::Loop()
     : anchor_(SteadyNow()),
       unix_anchor_(std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch())),
-      now_(unix_anchor_) {
+      now_(unix_anchor_),
+      since_(unix_anchor_) {
   g_loop = this;
   g_main_context_set_poll_func(nullptr, &Loop::Poll);
   source_.reset(g_source_new(&kPlainSource, sizeof(GSource)));
@@ -42,8 +46,19 @@
 }
 
 gint Loop::Poll(GPollFD* fds, guint count, gint timeout) {
+  const Time entered = g_loop != nullptr ? g_loop->Precise() : Time{};
   const gint ready = g_poll(fds, count, timeout);
-  if (g_loop != nullptr) g_loop->now_ = g_loop->Precise();
+  if (g_loop == nullptr) return ready;
+  const Time now = g_loop->Precise();
+  const Duration waited = now - entered;
+  if (timeout == 0 || waited < kAtOnce) {
+    g_loop->since_ = g_loop->now_;  // it was there already: it came at any time in the last pass
+  } else {
+    // Later than asked for: the process stood still, from some moment after it began to wait.
+    const bool late = timeout > 0 && waited > std::chrono::milliseconds(timeout) + kOverslept;
+    g_loop->since_ = late ? entered : now;
+  }
+  g_loop->now_ = now;
   return ready;
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -27,6 +27,9 @@
   Time Now() const { return now_; }
   // The clock as it stands at this moment; never behind Now().
   Time Precise() const;
+  // What this pass brings has come no earlier than this: what comes during a long pass waits for the next one,
+  // and what comes to a process that stands still waits until it goes on.
+  Time Since() const { return since_; }
 
   Poller& poller() { return poller_; }
 
@@ -48,6 +51,7 @@
   std::chrono::steady_clock::time_point anchor_;
   Time unix_anchor_;
   Time now_;
+  Time since_;
   bool running_ = false;
   std::uint64_t next_ = 0;
   std::map<TimerKey, std::function<void()>> timers_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -66,7 +66,9 @@
     Waiting next = std::move(held_.front());
     held_.pop_front();
     if (!requests_.contains(next.id) || Over(next.id)) continue;
-    next.event.time_left -= loop_.Now() - *next.event.arrived;
+    const Duration held = loop_.Now() - *next.event.arrived;
+    next.event.waited += held;
+    next.event.time_left -= held;
     Begin(next.id, std::move(next.event));
   }
   held_until_.Clear();
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -27,74 +27,6 @@
   return s;
 }
 
-std::string Query(const std::string& text) {
-  std::string out;
-  pg::AppendQuery(out, text);
-  return out;
-}
-
-// A client that has said who it is, as a bare socket: what it does happens while the loop stands still.
-class Bare {
- public:
-  explicit Bare(std::uint16_t port, const std::string& bytes = {})
-      : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(port);
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(connect(socket_, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
-    std::string out;
-    pg::AppendStartup(out, "worker", "catalog");
-    Say(out + bytes);
-  }
-  ~Bare() { Close(); }
-  void Say(const std::string& bytes) {
-    REQUIRE(send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
-  }
-  // As much as the kernel takes.
-  void SayMuch(const std::string& bytes) {
-    send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-  }
-  void Close() {
-    if (socket_ >= 0) close(socket_);
-    socket_ = -1;
-  }
-  // What has come so far; `ended` where the end has.
-  std::string Read() {
-    char block[4096];
-    for (ssize_t count; (count = recv(socket_, block, sizeof block, MSG_DONTWAIT)) >= 0;) {
-      if (count == 0) ended = true;
-      if (count == 0) break;
-      bytes.append(block, static_cast<std::size_t>(count));
-    }
-    return bytes;
-  }
-  // What the connection has come to, or 0.
-  int Fault() const {
-    int fault = 0;
-    socklen_t size = sizeof fault;
-    getsockopt(socket_, SOL_SOCKET, SO_ERROR, &fault, &size);
-    return fault;
-  }
-  void EndSending() { shutdown(socket_, SHUT_WR); }
-  bool Saw(const std::string& text) { return Read().find(text) != std::string::npos; }
-  std::string bytes;
-  bool ended = false;
-
- private:
-  int socket_;
-};
-
-// What BackendKeyData gave a client, as the body of a CancelRequest.
-std::string KeyOf(const Peer& client) {
-  std::string rest = client.bytes;
-  for (pg::Frame f; (f = pg::ReadFrame(rest)).framing == pg::Framing::kWhole; rest.erase(0, f.size))
-    if (f.type == 'K') return std::string(f.body);
-  return {};
-}
-
-std::string CancelBytes(const std::string& key) { return std::string("\0\0\0\x10\x04\xd2\x16\x2e", 8) + key; }
-
 // ---- Clients that go -------------------------------------------------------------------------------------
 
 TEST_CASE(
@@ -843,15 +775,24 @@
   Program program(w);
   program.Configure(program.Config("127.0.0.1:" + std::to_string(closed), kNoList));
   program.Start();
+  // On one connection, once it is taken in: one for each look were more than this process may hold.
+  Peer* client = nullptr;
   for (bool ready = false; !ready;) {
-    Peer& client = program.Client({""});
-    w.Until([&] { return client.ended || client.Types().ends_with("EZ") || client.Types().ends_with("IZ"); });
-    ready = client.Types().ends_with("IZ");
+    if (client == nullptr || client->ended) {
+      client = &program.Client({""});
+    } else {
+      client->bytes.clear();
+      client->Say(Query(""));
+    }
+    w.Until([&] {
+      return client->ended || client->Types().ends_with("EZ") || client->Types().ends_with("IZ");
+    });
+    ready = client->Types().ends_with("IZ");
     REQUIRE_FALSE(program.over);
   }
-  Peer& client = program.Client({Ask("any")});
-  w.Until([&] { return client.Types().ends_with("EZ"); });
-  CHECK(client.Saw("53300"));
+  client->Say(Query(Ask("any")));
+  w.Until([&] { return client->Types().ends_with("EZ"); });
+  CHECK(client->Saw("53300"));
 }
 
 TEST_CASE("SIGTERM twice, and before it is ready, ends the program in order") {
--- /dev/null
+++ b/tests/times_test.cpp
@@ -0,0 +1,224 @@
+// From when the times of a client are counted: from when its bytes came, not from when they were looked at.
+// Each test forces a delay between the two, on real sockets. docs/endings.md lists the times.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <rapidcheck.h>
+
+#include <chrono>
+#include <thread>
+
+#include "net/arrivals.h"
+#include "world.h"
+
+namespace lynxgrade {
+namespace {
+
+Duration Ms(int ms) { return std::chrono::milliseconds(ms); }
+Time At(std::int64_t us) { return Time(Duration(us)); }
+
+// Nothing is turned away for being late: an answer is worth as much up to its deadline, and is expected soon.
+Settings Unhurried() {
+  Settings s = Usual();
+  for (RequestClass& kind : s.classes) {
+    kind.aim = Duration(40000);
+    kind.deadline = Duration(60000000);
+    kind.late_value = 1;
+  }
+  return s;
+}
+
+// Runs the loop for so long by its own clock.
+void Pass(World& w, Duration time) {
+  bool over = false;
+  net::Timer timer(w.loop);
+  timer.After(time, [&] { over = true; });
+  w.Until([&] { return over; });
+}
+
+// The `d` that a data server was told, in ms.
+int Told(const std::string& statement) { return std::atoi(statement.c_str() + statement.find("d=", 9) + 2); }
+
+// A data server that keeps its first query until it is told to answer, and answers the rest at once.
+struct Held {
+  explicit Held(World& w) : server(w.Serve({})) {
+    server.script = [this](Peer& peer, const std::string& text) {
+      if (first != nullptr) return kAnswer(peer, text);
+      first = &peer;
+      asked = text;
+    };
+    w.List();
+  }
+  void Answer() { kAnswer(*first, asked); }
+  DataServer& server;
+  Peer* first = nullptr;
+  std::string asked;
+};
+
+TEST_CASE("arrivals: each byte has the time at which it came, also after some were taken") {
+  net::Arrivals arrivals;
+  arrivals.Came(10, At(1000000));
+  arrivals.Came(5, At(1000500));  // as good as at once
+  arrivals.Came(20, At(3000000));
+  CHECK(arrivals.At(0) == At(1000000));
+  CHECK(arrivals.At(14) == At(1000000));
+  CHECK(arrivals.At(15) == At(3000000));
+  CHECK(arrivals.At(99) == At(3000000));
+  arrivals.Consume(12);
+  CHECK(arrivals.First() == 3);
+  CHECK(arrivals.At(2) == At(1000000));
+  CHECK(arrivals.At(3) == At(3000000));
+  arrivals.Came(1, At(2000000));  // a time that falls back is none
+  CHECK(arrivals.At(23) == At(3000000));
+  arrivals.Consume(1000);
+  CHECK(arrivals.size() == 0);
+}
+
+TEST_CASE("arrivals: however bytes come and go, none is held for younger, and memory stays bounded") {
+  rc::check([] {
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 40), rc::gen::inRange(0, 30000)));
+    net::Arrivals arrivals;
+    std::vector<Time> truth;
+    Time now = At(1000000);
+    for (const auto& [size, wait] : steps) {
+      now += Duration(wait);
+      arrivals.Came(static_cast<std::size_t>(size), now);
+      truth.insert(truth.end(), static_cast<std::size_t>(size), now);
+      const std::size_t taken = truth.size() / 7;
+      arrivals.Consume(taken);
+      truth.erase(truth.begin(), truth.begin() + static_cast<std::ptrdiff_t>(taken));
+      RC_ASSERT(arrivals.size() == truth.size());
+      for (std::size_t i = 0; i < truth.size(); ++i) RC_ASSERT(arrivals.At(i) <= truth[i]);
+    }
+  });
+  net::Arrivals trickle;
+  for (int i = 0; i < 100000; ++i) trickle.Came(1, At(std::int64_t{i} * 2000));
+  int stretches = 0;
+  for (; trickle.size() > 0; ++stretches) trickle.Consume(trickle.First());
+  CHECK(stretches <= 128);
+}
+
+TEST_CASE("a request whose time was over as it waited behind another is refused at once and never sent on") {
+  World w(200, Unhurried());
+  Held held(w);
+  Peer& client = w.Client({Ask("any", "1", 60000), Ask("any", "2", 200), Ask("any", "3", 60000)});
+  w.Until([&] { return held.first != nullptr; });
+  Pass(w, Ms(300));
+  held.Answer();
+  // In the order in which they were asked: served, refused with a time to come back, served.
+  w.Until([&] { return client.Types().ends_with("TDCZEZTDCZ"); });
+  CHECK(client.Saw("53300"));
+  CHECK(client.Saw("\0D"s));
+  REQUIRE(held.server.queries.size() == 2);
+  CHECK(held.server.queries[1].find("'3'") != std::string::npos);
+}
+
+TEST_CASE("what a request waited behind others is off the time that its data server is told") {
+  World w(200, Unhurried());
+  Held held(w);
+  w.Client({Ask("any", "1", 60000), Ask("any", "2", 60000)});
+  w.Until([&] { return held.first != nullptr; });
+  Pass(w, Ms(400));
+  held.Answer();
+  w.Until([&] { return held.server.queries.size() == 2; });
+  CHECK(Told(held.server.queries[1]) <= 59600);
+}
+
+TEST_CASE("a request that came into the kernel while the ring was full has its time from then") {
+  World w(200, Unhurried());
+  Held held(w);
+  // The ring holds 256 KiB: what is behind these stays in the kernel.
+  const std::string wide = Ask("any", "1", 60000) + std::string(150000, ' ');
+  Bare client(w.front.port(), Query(wide) + Query(wide) + Query(Ask("any", "2", 300)));
+  w.Until([&] { return held.first != nullptr; });
+  Pass(w, Ms(400));
+  client.Say(Query(Ask("any", "3", 60000)));
+  Pass(w, Ms(200));
+  held.Answer();
+  w.Until([&] { return held.server.queries.size() == 3 && client.Saw("53300"); });
+  CHECK(held.server.queries[2].find("'3'") != std::string::npos);
+  const int left = Told(held.server.queries[2]);
+  CHECK(left <= 59800);
+  CHECK(left > 59400);  // nor is it as old as those before it
+}
+
+TEST_CASE("a request that came while the program stood still has its time from when it came") {
+  World w(200, Unhurried());
+  DataServer& server = w.Serve(kAnswer);
+  w.List();
+  Bare client(w.front.port());
+  w.Until([&] { return client.Saw("Z\0\0\0\5I"s); });
+  client.Say(Query(Ask("any", "1", 200)));
+  std::this_thread::sleep_for(Ms(300));
+  w.Until([&] { return client.Saw("53300"); });
+  CHECK(server.queries.empty());
+  std::this_thread::sleep_for(Ms(300));
+  client.Say(Query(Ask("any", "2", 60000)));
+  w.Until([&] { return server.queries.size() == 1; });
+  CHECK(Told(server.queries[0]) > 59700);  // the program stood still, but the request is new
+}
+
+TEST_CASE("a request on a connection that waited to be accepted has its time from when it came") {
+  World w(200, Unhurried());
+  DataServer& server = w.Serve(kAnswer);
+  w.List();
+  Bare client(w.front.port(), Query(Ask("any", "1", 200)) + Query(Ask("any", "2", 60000)));
+  std::this_thread::sleep_for(Ms(300));
+  w.Until([&] { return client.Saw("53300") && server.queries.size() == 1; });
+  CHECK(Told(server.queries[0]) <= 59700);
+}
+
+TEST_CASE("a cancel that waits to be accepted does not end a request that was taken after it came") {
+  World w(200, Unhurried());
+  Held held(w);
+  Peer& client = w.Client({Ask("any", "1", 60000), Ask("any", "2", 60000)});
+  w.Until([&] { return held.first != nullptr; });
+  const std::string key = KeyOf(client);
+  REQUIRE(key.size() == 8);
+  held.server.script = kSilent;
+  // It means the first, and stands behind so many in the queue that the second is taken before it is looked
+  // at.
+  std::vector<std::unique_ptr<Bare>> crowd;
+  for (int i = 0; i < 70; ++i) crowd.push_back(Bare::Mute(w.front.port()));
+  crowd.back()->Say(CancelBytes(key));
+  held.Answer();
+  w.Until([&] {
+    crowd.back()->Read();
+    return held.server.queries.size() == 2 && crowd.back()->ended;
+  });
+  CHECK_FALSE(client.Saw("57014"));
+  CHECK(w.proxy.open() == 1);
+}
+
+TEST_CASE("a message in pieces has its time from its first byte, also behind a request that took long") {
+  World w(200, Unhurried());
+  Held held(w);
+  Peer& client = w.Client({Ask("any", "1", 60000)});
+  w.Until([&] { return held.first != nullptr; });
+  client.Say(Query(Ask("any", "2")).substr(0, 20));
+  Pass(w, Ms(2100));
+  bool late = false;
+  net::Timer limit(w.loop);
+  held.Answer();
+  w.Until([&] { return client.Types().ends_with("TDCZ"); });
+  limit.After(Ms(1500), [&] { late = true; });
+  w.Until([&] { return client.Saw("08P01"); });
+  CHECK_FALSE(late);
+}
+
+TEST_CASE("a message in pieces has its own time, not that of the one before it") {
+  World w(200, Unhurried());
+  w.Serve(kAnswer);
+  w.List();
+  Peer& client = w.Client({});
+  const std::string set = Query("SET a = 1");
+  client.Say(set.substr(0, 7));
+  Pass(w, Ms(1300));
+  client.Say(set.substr(7) + set.substr(0, 7));
+  Pass(w, Ms(1300));
+  client.Say(set.substr(7));
+  w.Until([&] { return client.Types().ends_with("CZCZ") || client.ended; });
+  CHECK_FALSE(client.ended);
+}
+
+}  // namespace
+}  // namespace lynxgrade
--- a/tests/world.h
+++ b/tests/world.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <doctest/doctest.h>
+#include <netinet/in.h>
 #include <spdlog/sinks/ostream_sink.h>
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -231,6 +233,84 @@
   p.Say(Row(text.substr(text.rfind('\'') - 1, 1)));
 };
 
+inline std::string Query(const std::string& text) {
+  std::string out;
+  pg::AppendQuery(out, text);
+  return out;
+}
+
+// A client that has said who it is, as a bare socket: what it does happens while the loop stands still.
+class Bare {
+ public:
+  explicit Bare(std::uint16_t port, const std::string& bytes = {}) : Bare(port, kMute) {
+    std::string out;
+    pg::AppendStartup(out, "worker", "catalog");
+    Say(out + bytes);
+  }
+  // One that has said nothing yet.
+  static std::unique_ptr<Bare> Mute(std::uint16_t port) {
+    return std::unique_ptr<Bare>(new Bare(port, kMute));
+  }
+  ~Bare() { Close(); }
+  Bare(const Bare&) = delete;
+  Bare& operator=(const Bare&) = delete;
+  void Say(const std::string& bytes) {
+    REQUIRE(send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  }
+  // As much as the kernel takes.
+  void SayMuch(const std::string& bytes) {
+    send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  }
+  void Close() {
+    if (socket_ >= 0) close(socket_);
+    socket_ = -1;
+  }
+  // What has come so far; `ended` where the end has.
+  std::string Read() {
+    char block[4096];
+    for (ssize_t count; (count = recv(socket_, block, sizeof block, MSG_DONTWAIT)) >= 0;) {
+      if (count == 0) ended = true;
+      if (count == 0) break;
+      bytes.append(block, static_cast<std::size_t>(count));
+    }
+    return bytes;
+  }
+  // What the connection has come to, or 0.
+  int Fault() const {
+    int fault = 0;
+    socklen_t size = sizeof fault;
+    getsockopt(socket_, SOL_SOCKET, SO_ERROR, &fault, &size);
+    return fault;
+  }
+  void EndSending() { shutdown(socket_, SHUT_WR); }
+  bool Saw(const std::string& text) { return Read().find(text) != std::string::npos; }
+  std::string bytes;
+  bool ended = false;
+
+ private:
+  enum Kind { kMute };
+  Bare(std::uint16_t port, Kind) : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(port);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(socket_, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  }
+  int socket_;
+};
+
+// What BackendKeyData gave a client, as the body of a CancelRequest.
+inline std::string KeyOf(const Peer& client) {
+  std::string rest = client.bytes;
+  for (pg::Frame f; (f = pg::ReadFrame(rest)).framing == pg::Framing::kWhole; rest.erase(0, f.size))
+    if (f.type == 'K') return std::string(f.body);
+  return {};
+}
+
+inline std::string CancelBytes(const std::string& key) {
+  return std::string("\0\0\0\x10\x04\xd2\x16\x2e", 8) + key;
+}
+
 // A port at which connections are refused.
 inline std::uint16_t ClosedPort(net::Loop& loop) {
   net::Listener gone(
