Split the instance out of Pooler, so that a host without client sockets can run it

Pooler held all of them together with these sockets. A second joining in the laboratory was ruled out: it would be a copy that drifts.

Instance now joins the parts and is given a proxy::Backends by its host; Pooler keeps the sockets, the questions of operators and the signals. The module's deadlines no longer outlive their proxy, so that an instance can be taken down while its loop runs on. The exchange counts packets and bytes by kind (membership, marks, reigns, ledger; told with lynxgrade peers), may be given a filter on addresses, and may run membership alone where a host asks; neither is reachable by settings.

--- /dev/null
+++ b/src/instance.cpp
@@ -0,0 +1,127 @@
+#include "instance.h"
+
+#include <spdlog/spdlog.h>
+
+#include "fleet/size.h"
+
+namespace lynxgrade {
+
+Instance::Instance(net::Loop& loop, const Config& config, const Setup& setup, proxy::Backends& backends,
+                   Host host)
+    : loop_(loop),
+      config_(config),
+      setup_(setup),
+      host_(std::move(host)),
+      reader_(config.zones),
+      proxy_(loop, config.settings, config.seed, backends, setup.sessions) {}
+
+std::string Instance::Start() {
+  std::int64_t since = 0;
+  ListEvent first{ListKind::kPersisted, {}};
+  std::string wrong;
+  if (!config_.known.empty()) {
+    const auto known = reader_.Read(config_.known, wrong);
+    if (!wrong.empty()) spdlog::warn("the list in the configuration: {}", wrong);
+    if (known) {
+      since = known->revision;
+      first.entries = Entries(*known);
+    }
+  }
+  const std::string fault = StartSessions();
+  if (!fault.empty()) return fault;
+  proxy_.ListChanged(std::move(first));
+  const Settings& settings = config_.settings;
+  const discovery::Watch::Callers callers{settings.list_on_request, fleet::Size(settings.peers_total),
+                                          settings.drain_grace};
+  if (settings.peers_total == 0) {
+    spdlog::warn("the settings do not say how many poolers there are (peers_total): taken for {}",
+                 fleet::Size(0));
+  }
+  watch_.emplace(loop_, config_.discovery, reader_, since, config_.seed, callers,
+                 [this](const discovery::RosterChange& change) { Changed(change); });
+  return {};
+}
+
+std::string Instance::StartSessions() {
+  if (setup_.sessions.scope != session::Scope::kEverywhere) return {};
+  session::Keeper& keeper = proxy_.keeper();
+  const Time now = loop_.Precise();
+  bool recovered = false;
+  std::optional<Time> known_to;
+  if (!setup_.state.folder.empty()) {
+    store_ = std::make_unique<state::Store>(loop_, setup_.state, config_.name, keeper);
+    const std::string fault = store_->Open();
+    if (fault.empty()) {
+      const state::Recovered& found = store_->recovered();
+      state::Apply(found, keeper);
+      recovered = found.complete;
+      known_to = found.complete ? std::optional(now) : found.complete_to;
+      spdlog::info("state: {}{}", found.sentence,
+                   recovered ? "" : "; reads start on the conservative target");
+    }
+    const std::string no_file = fault.empty() ? store_->Begin() : fault;
+    if (!no_file.empty()) {
+      spdlog::error("state: {}; serving without durable state", no_file);
+      store_.reset();
+    }
+  }
+  keeper.Started(now, known_to);
+  if (setup_.peers.listen) {
+    peers::Parts parts{loop_, setup_.peers, config_.name, recovered, keeper, [this] { proxy_.Relearnt(); }};
+    auto loaded = host_.make_peers ? host_.make_peers(std::move(parts)) : peers::Load(std::move(parts));
+    if (const auto* wrong = std::get_if<std::string>(&loaded)) return *wrong;
+    peers_ = std::move(std::get<std::unique_ptr<peers::Service>>(loaded));
+    const std::string fault = peers_->Start();
+    if (!fault.empty()) return fault;
+  }
+  proxy::Proxy::Waits waits;
+  waits.wrote = [this](GroupId group, session::Key key, const session::Mark& mark) {
+    if (peers_ != nullptr) peers_->Wrote(group, key, mark);
+    if (store_ != nullptr) store_->Wrote(key, mark);
+  };
+  if (store_ != nullptr) {
+    waits.safe = [this](std::function<void()> call) { return store_->WhenSafe(std::move(call)); };
+    keeper.OnReign([this] { store_->ReignsChanged(); });
+  }
+  if (peers_ != nullptr) waits.ask_others = [this] { peers_->Solicit(); };
+  proxy_.SetWaits(std::move(waits));
+  return {};
+}
+
+void Instance::MoveTo(const net::Address& discovery) {
+  watch_->MoveTo(discovery);
+  if (peers_ != nullptr) peers_->ReloadKeys();
+}
+
+void Instance::Leave() {
+  if (peers_ != nullptr) peers_->Leave();
+  if (store_ != nullptr) store_->Stop();
+}
+
+std::vector<ListEntry> Instance::Entries(const discovery::RosterChange& change) {
+  std::vector<ListEntry> entries;
+  for (const discovery::Target& target : change.targets) {
+    if (target.address) host_.address(target.entry.member, *target.address);
+    entries.push_back(target.entry);
+    listed_ = true;
+  }
+  return entries;
+}
+
+void Instance::Changed(const discovery::RosterChange& change) {
+  for (const discovery::Target& target : change.targets) {
+    spdlog::info("discovery: version {}: {} ({}) {}", change.revision, target.uid,
+                 static_cast<std::uint32_t>(target.entry.member),
+                 target.entry.lifecycle == Lifecycle::kServing    ? "serves"
+                 : target.entry.lifecycle == Lifecycle::kDraining ? "drains"
+                                                                  : "is gone");
+  }
+  proxy_.ListChanged({change.whole ? ListKind::kComplete : ListKind::kPartial, Entries(change)});
+  // Where being gone does not bind, requests may still be sent there.
+  if (!config_.settings.gone_not_binding) {
+    for (const MemberId member : reader_.Prune(change)) host_.forget(member);
+  }
+  if (host_.changed) host_.changed();
+}
+
+}  // namespace lynxgrade
--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -128,6 +128,7 @@
 void Exchange::Tick(Time now, std::vector<Out>& out) {
   swim_.Tick(now, out);
   Follow(now);
+  if (options_.members_only) return;
   const Duration interval = Interval();
   // Rumours go out with the first packets of a flush. From a start that turns they reach all, not the same
   // few: with 64 instances one heard of a death 11 s after the others.
@@ -150,7 +151,7 @@
 }
 
 void Exchange::Solicit(Time now, std::vector<Out>& out) {
-  if (now - solicited_ < kSolicitEvery) return;
+  if (options_.members_only || now - solicited_ < kSolicitEvery) return;
   solicited_ = now;
   for (auto& [name, link] : links_) {
     const auto peer = swim_.peers().find(name);
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -28,6 +28,7 @@
     Duration idle{100000};
     std::size_t kept = 65536;     // own marks kept in sequence; who misses more gets the whole ledger
     double packets_per_s = 2000;  // with many peers flushes are spread out to stay under this
+    bool members_only = false;    // nothing is told of marks and reigns, and nobody is ever covered
   };
   struct Counts {
     std::uint64_t marks_in = 0, marks_out = 0, packets_out = 0, syncs = 0;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -11,6 +11,8 @@
 namespace lynxgrade::peers {
 namespace {
 
+constexpr std::size_t kTagAndLength = 2;  // of one of a repeated message of under 128 bytes
+
 std::string TextOf(const net::Address& address) {
   const bool six = address.host.find(':') != std::string::npos;
   return (six ? "[" + address.host + "]" : address.host) + ":" + std::to_string(address.port);
@@ -24,6 +26,20 @@
   return TextOf(read);
 }
 
+void Note(std::array<Traffic::Count, kKinds.size()>& counts, const wire::Packet& packet, std::size_t size) {
+  const auto of = [&](Kind kind) -> Traffic::Count& { return counts[static_cast<std::size_t>(kind)]; };
+  std::size_t reigns = 0, rumours = 0;
+  for (const wire::Reign& reign : packet.reigns()) reigns += reign.ByteSizeLong() + kTagAndLength;
+  for (const wire::Member& rumour : packet.rumours()) rumours += rumour.ByteSizeLong() + kTagAndLength;
+  const Kind kind = packet.has_delta()                             ? Kind::kMarks
+                    : packet.has_chunk() || packet.has_chunk_ack() ? Kind::kLedger
+                                                                   : Kind::kMembership;
+  ++of(kind).packets;
+  of(kind).bytes += size + Traffic::kHeads - reigns - rumours;
+  of(Kind::kReigns).bytes += reigns;
+  of(Kind::kMembership).bytes += rumours;
+}
+
 }  // namespace
 
 Peers::Peers(Parts parts)
@@ -33,6 +49,8 @@
       recovered_(parts.recovered),
       keeper_(parts.keeper),
       learnt_(std::move(parts.learnt)),
+      passes_(std::move(parts.passes)),
+      members_only_(parts.members_only),
       tick_(loop_),
       complaints_(loop_) {}
 
@@ -68,6 +86,7 @@
   for (const net::Address& seed : setup_.seeds) seeds.push_back(TextOf(seed));
   Exchange::Options options;
   options.flush = setup_.flush;
+  options.members_only = members_only_;
   options.swim.period = setup_.probe;
   options.swim.size = 1 + setup_.seeds.size();  // the settings name all others
   if (setup_.plain_members) {
@@ -116,14 +135,17 @@
   const members::Standing::Value value = exchange_->StandingAt(loop_.Precise());
   if (value.part == part_) return;
   part_ = value.part;
-  const auto& peers = exchange_->swim().peers();
-  const auto reached = 1 + std::ranges::count_if(peers, [](const auto& item) {
-                         return item.second.member.state() == wire::Member::ALIVE;
-                       });
-  spdlog::info("peers: {}: {} of {} instances in reach, view {:016x}", members::NameOf(part_), reached,
+  spdlog::info("peers: {}: {} of {} instances in reach, view {:016x}", members::NameOf(part_), Reached(),
                1 + setup_.seeds.size(), value.view);
 }
 
+std::size_t Peers::Reached() const {
+  const auto alive = std::ranges::count_if(exchange_->swim().peers(), [](const auto& item) {
+    return item.second.member.state() == wire::Member::ALIVE;
+  });
+  return 1 + static_cast<std::size_t>(alive);
+}
+
 void Peers::TellConflict() {
   const std::uint64_t conflicts = exchange_->swim().conflicts();
   std::uint64_t left_out = 0;
@@ -170,6 +192,13 @@
     if (differs != swim.differences().end()) one["differs"] = differs->second;
     json["peers"].push_back(std::move(one));
   }
+  for (std::size_t kind = 0; kind < kKinds.size(); ++kind) {
+    const auto &out = traffic_.out[kind], &in = traffic_.in[kind];
+    json["traffic"][kKinds[kind]] = {{"packets_out", out.packets},
+                                     {"bytes_out", out.bytes},
+                                     {"packets_in", in.packets},
+                                     {"bytes_in", in.bytes}};
+  }
   return json.dump();
 }
 
@@ -190,7 +219,9 @@
     const auto address = net::ParseAddress(out.address);
     const net::ObjectPtr<GSocketAddress> target = address ? net::SocketAddress(*address) : nullptr;
     if (target == nullptr) continue;
+    if (passes_ && !passes_(out.address)) continue;
     const std::string datagram = envelope_->Seal(out.packet);
+    Note(traffic_.out, out.packet, datagram.size());
     // A datagram that cannot be sent now is a lost one.
     g_socket_send_to(socket_.get(), target.get(), datagram.data(), datagram.size(), nullptr, nullptr);
   }
@@ -212,8 +243,10 @@
 }
 
 void Peers::Take(std::string_view datagram, const std::string& from) {
+  if (passes_ && !passes_(from)) return;
   auto opened = envelope_->Open(datagram);
   if (const auto* packet = std::get_if<wire::Packet>(&opened)) {
+    Note(traffic_.in, *packet, datagram.size());
     // Not the time at which this pass began: the ages of words are told up to the moment of the answer, and
     // the process may have stood still in between.
     return exchange_->Take(loop_.Precise(), from, *packet, out_);
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -31,6 +31,8 @@
   void Solicit() override;
   bool Ready() const override;
   std::string Describe() const override;
+  std::size_t Reached() const override;
+  const Traffic& traffic() const override { return traffic_; }
   void Leave() override;
   const Exchange& exchange() const { return *exchange_; }
   std::uint64_t dropped() const { return dropped_; }
@@ -55,6 +57,9 @@
   bool recovered_;
   session::Keeper& keeper_;
   std::function<void()> learnt_;
+  std::function<bool(const std::string&)> passes_;
+  bool members_only_;
+  Traffic traffic_;
   net::ObjectPtr<GSocket> socket_;
   std::unique_ptr<Envelope> envelope_;
   std::unique_ptr<Exchange> exchange_;
--- a/src/peers/service.h
+++ b/src/peers/service.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "net/loop.h"
+#include "peers/traffic.h"
 #include "session/keeper.h"
 #include "setup.h"
 
@@ -27,6 +28,10 @@
   virtual bool Ready() const = 0;
   // Which others there are and which part this instance is with, in JSON; src/control/ask.cpp reads it.
   virtual std::string Describe() const = 0;
+  // How many instances are in reach, this one included.
+  virtual std::size_t Reached() const = 0;
+  // What has been sent and taken since the start.
+  virtual const Traffic& traffic() const = 0;
   // Tells the others the last marks and that this instance leaves.
   virtual void Leave() = 0;
 };
@@ -38,6 +43,11 @@
   bool recovered = false;   // the keeper knows all that earlier lives of this instance answered
   session::Keeper& keeper;
   std::function<void()> learnt;  // called whenever the keeper may have learnt something
+  // For a host of many instances, which plays the network between them: whether datagrams pass between here
+  // and that address. Absent: all do.
+  std::function<bool(const std::string& address)> passes = {};
+  // Membership alone, for a host that measures what it costs by itself; then nobody is ever covered.
+  bool members_only = false;
 };
 
 // Loads the module, which stands beside the program, and makes its one service; or why it cannot be had.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -272,7 +272,9 @@
 }
 
 void Proxy::Do(const SetTimer& action) {
-  loop_.At(loop_.Now() + action.delay, [this, id = action.id] { Feed(TimerEvent{id}); });
+  loop_.At(loop_.Now() + action.delay, [self = std::weak_ptr(self_), id = action.id] {
+    if (const auto proxy = self.lock()) (*proxy)->Feed(TimerEvent{id});
+  });
 }
 
 void Proxy::Do(const Probe& action) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <unordered_map>
 
 #include "balance.h"
@@ -109,6 +110,8 @@
   std::deque<Event> events_;
   std::deque<Action> actions_;
   Actions fresh_;
+  // Held by each of the module's deadlines that are out: those that come up after this is gone do nothing.
+  std::shared_ptr<Proxy*> self_ = std::make_shared<Proxy*>(this);
   bool feeding_ = false;
   std::uint32_t last_ = 0;
   std::size_t open_ = 0;
