--- a/lab/data_servers.cpp
+++ b/lab/data_servers.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kRing = 1 << 18;
+constexpr std::size_t kListRing = 1 << 20;  // a list of two thousand is some 300 KB
 constexpr Duration kTick{5000};
 constexpr Duration kEmptyLine{2000000};
 const std::string kColumn = std::string("\0\1body\0", 7) + std::string(18, '\0');
@@ -199,13 +200,14 @@
 class Agent::Watcher final : public net::Connection::Owner {
  public:
   Watcher(net::Loop& loop, net::ObjectPtr<GSocket> socket, Agent& agent) : agent_(agent) {
-    connection_ = net::Connection::Adopt(loop, std::move(socket), *this, kRing, kRing);
+    connection_ = net::Connection::Adopt(loop, std::move(socket), *this, kRing, kListRing);
   }
+  bool follows() const { return follows_ && !over_; }
   void Say(const std::string& line) {
     if (!follows_ || over_) return;
     char size[16];
     std::snprintf(size, sizeof size, "%zx\r\n", line.size());
-    connection_->Write(size + line + "\r\n");
+    Write(size + line + "\r\n");
   }
   bool over() const { return over_; }
 
@@ -214,13 +216,13 @@
     const std::string request(connection_->in().All());
     if (follows_ || request.find("\r\n\r\n") == std::string::npos) return connection_->ResumeReading();
     connection_->in().Consume(request.size());
-    const std::string list = agent_.Lines(true);
+    const std::string list = agent_.Whole();
+    ++agent_.calls_;
     if (request.find("follow=1") == std::string::npos) {
-      connection_->Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" +
-                         list);
+      Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
       return;
     }
-    connection_->Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     follows_ = true;
     Say(list);
   }
@@ -229,6 +231,10 @@
     over_ = true;
     connection_->Close();
   }
+  void Write(const std::string& bytes) {
+    agent_.bytes_ += bytes.size();
+    connection_->Write(bytes);
+  }
 
   Agent& agent_;
   std::shared_ptr<net::Connection> connection_;
@@ -265,7 +271,7 @@
 void Agent::List(const DataServers& servers) {
   const auto number = static_cast<std::int64_t>(servers.number());
   for (std::size_t i = 0; i < const_cast<DataServers&>(servers).group().size(); ++i) {
-    entries_.push_back(nlohmann::json{
+    entries_[servers.Uid(i)] = nlohmann::json{
         {"uid", servers.Uid(i)},
         {"endpoint", "127.0.0.1:" + std::to_string(servers.port(i))},
         {"az", "a"},
@@ -273,13 +279,33 @@
         {"pod_group", number},
         {"state", "Ready"},
         {"capacity_hint", 1.0},
-        {"boot_ms", 0}}.dump());
+        {"boot_ms", 0}}.dump();
   }
 }
 
-std::string Agent::Lines(bool all) const {
-  std::string list = "{\"rev\":1,\"all\":" + std::string(all ? "true" : "false") + ",\"targets\":[";
-  for (std::size_t i = 0; i < entries_.size(); ++i) list += (i > 0 ? "," : "") + entries_[i];
+void Agent::Replace(const std::string& old, const std::string& uid, const std::string& entry) {
+  ++revision_;
+  entries_.erase(old);
+  entries_[uid] = entry;
+  const std::string line = Lines(false, {nlohmann::json{{"uid", old}, {"state", "Gone"}}.dump(), entry});
+  for (auto& one : watchers_) one->Say(line);
+}
+
+std::size_t Agent::watchers() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(watchers_, [](const auto& one) { return one->follows(); }));
+}
+
+std::string Agent::Whole() const {
+  std::vector<std::string> all;
+  for (const auto& [uid, entry] : entries_) all.push_back(entry);
+  return Lines(true, all);
+}
+
+std::string Agent::Lines(bool all, const std::vector<std::string>& entries) const {
+  std::string list =
+      "{\"rev\":" + std::to_string(revision_) + ",\"all\":" + (all ? "true" : "false") + ",\"targets\":[";
+  for (std::size_t i = 0; i < entries.size(); ++i) list += (i > 0 ? "," : "") + entries[i];
   return list + "]}\n";
 }
 
--- a/lab/data_servers.h
+++ b/lab/data_servers.h
@@ -3,6 +3,7 @@
 // pooler's part.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,15 +65,25 @@
   ~Agent();
   std::uint16_t port() const { return listener_.port(); }
   void List(const DataServers& servers);
+  // One entry of the list as JSON, to be told with the whole list alone.
+  void List(const std::string& uid, const std::string& entry) { entries_[uid] = entry; }
+  // In place of one there is another from now on: both are told to all who watch.
+  void Replace(const std::string& old, const std::string& uid, const std::string& entry);
+  std::uint64_t calls() const { return calls_; }  // for the list
+  std::uint64_t bytes() const { return bytes_; }  // told
+  std::size_t watchers() const;
 
  private:
   class Watcher;
-  std::string Lines(bool all) const;
+  std::string Lines(bool all, const std::vector<std::string>& entries) const;
+  std::string Whole() const;
 
   net::Loop& loop_;
   net::Listener listener_;
   std::vector<std::unique_ptr<Watcher>> watchers_;
-  std::vector<std::string> entries_;
+  std::map<std::string, std::string> entries_;  // by uid
+  std::int64_t revision_ = 1;
+  std::uint64_t calls_ = 0, bytes_ = 0;
   net::Timer beat_;
 };
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -9,6 +9,8 @@
 #include "data_servers.h"
 #include "members_run.h"
 #include "pooler_process.h"
+#include "scale_host.h"
+#include "scale_run.h"
 #include "sessions_run.h"
 
 namespace lynxgrade::lab {
@@ -91,11 +93,37 @@
   of_members->add_flag("--compare", members.compare, "also with the mechanism taken out");
   of_members->add_option("--json", members.json, "also write the figures to this file");
   of_members->add_flag("--logs", members.keep_logs, "say where the poolers' logs are while it runs");
+  ScaleOptions scale;
+  CLI::App* of_scale = run->add_subcommand("scale", "hollow poolers by the hundred beside real ones, by a script");
+  of_scale->add_option("--poolers", scale.poolers, "how many, the real ones among them");
+  of_scale->add_option("--databases", scale.databases, "how many, in groups of three");
+  of_scale->add_option("--real", scale.real, "real processes among the poolers");
+  of_scale->add_option("--script", scale.script,
+                       "quiet, load, primaries, replaced, rack, zone, regions or configuration");
+  of_scale->add_option("--marks", scale.marks, "how sessions' marks are exchanged: each, or none at all");
+  of_scale->add_option("--seed", scale.seed, "for all that is drawn");
+  of_scale->add_option("--seconds", scale.seconds, "measured, once all have met");
+  of_scale->add_option("--statements-per-s", scale.statements_per_s, "of each hollow pooler");
+  of_scale->add_option("--writes-share", scale.writes_share, "of the statements");
+  of_scale->add_option("--roam-share", scale.roam_share, "of the statements, of sessions of other poolers");
+  of_scale->add_option("--changes-per-s", scale.changes_per_s, "of the list; the script's own if left out");
+  of_scale->add_option("--hosts", scale.hosts, "processes that host hollow poolers; 0: by their number");
+  of_scale->add_option("--settle-s", scale.settle_s, "for all to meet, at most");
+  of_scale->add_option("--json", scale.json, "also write the record of the run to this file");
+  of_scale->add_option("--commit", scale.commit, "what was built, for the record");
+  CLI::App* hollow = app.add_subcommand("hollow-host", "one of the scale run's own processes")->group("");
+  std::string spec_file;
+  int host = 0;
+  hollow->add_option("spec", spec_file, "what it is to host")->required();
+  hollow->add_option("number", host, "which one it is")->required();
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : 2;
   }
+  if (hollow->parsed()) return RunHost(spec_file, host);
+  scale.pooler = pooler;
+  if (of_scale->parsed()) return RunScale(scale);
   members.pooler = pooler;
   if (of_members->parsed()) return RunMembers(members);
   sessions.pooler = pooler;
--- a/lab/pooler_process.cpp
+++ b/lab/pooler_process.cpp
@@ -129,6 +129,11 @@
   process_.reset();
 }
 
+int PoolerProcess::number() const {
+  const char* text = running() ? g_subprocess_get_identifier(process_.get()) : nullptr;
+  return text == nullptr ? 0 : std::atoi(text);
+}
+
 bool PoolerProcess::Crashed() const {
   return running() && g_subprocess_get_identifier(process_.get()) == nullptr;
 }
--- a/lab/pooler_process.h
+++ b/lab/pooler_process.h
@@ -46,6 +46,8 @@
   void End(int signal);
   void Signal(int signal);
   bool running() const { return process_ != nullptr; }
+  // As the system numbers it; 0 where it does not run.
+  int number() const;
   // Whether it ended by itself.
   bool Crashed() const;
 
--- /dev/null
+++ b/lab/scale_databases.h
@@ -0,0 +1,71 @@
+// Hollow databases: groups of a primary and replicas that answer from a table, without sockets. Positions are
+// times, as the stand-ins tell them; who is primary, and from when on, is told by the coordinator ahead of
+// the time, so that all hosts hold the same.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "balance.h"
+
+namespace lynxgrade::lab {
+
+// What data some member holds: all up to a position, on one line of reigns.
+struct Held {
+  Position position{};
+  std::size_t reign = 0;  // 0: the first
+};
+
+class Databases {
+ public:
+  // How long each group has, in members.
+  explicit Databases(const std::vector<int>& groups);
+
+  struct Where {
+    std::size_t group = 0, member = 0;
+  };
+  // Of the i-th database, in the order of groups.
+  Where At(std::size_t database) const { return where_[database]; }
+  std::size_t size() const { return where_.size(); }
+  std::size_t groups() const { return groups_.size(); }
+
+  // From `at` on. A primary's end leaves its group without one until the next reign.
+  void Die(std::size_t group, std::size_t member, Time at);
+  void Return(std::size_t group, std::size_t member, Time at);
+  void Reign(std::size_t group, std::size_t member, Time at);
+
+  bool Up(Where where, Time now) const;
+  bool IsPrimary(Where where, Time now) const;
+  // The position that it tells, in whole milliseconds.
+  Position Tells(Where where, Time now) const;
+  Held Holds(Where where, Time now) const;
+  // A commit there; absent where it is not primary.
+  std::optional<Held> Commit(Where where, Time now) const;
+  // Whether what is held has a write that was answered as `wrote`.
+  bool Has(std::size_t group, const Held& held, const Held& wrote) const;
+
+ private:
+  struct Outage {
+    Time from{}, to = Time::max();
+  };
+  struct Reigning {
+    std::size_t member = 0;
+    Time since{};
+    Time until = Time::max();
+    Position had{};  // of the reign before, all up to here
+  };
+  struct Group {
+    std::vector<std::vector<Outage>> down;  // by member
+    std::vector<Reigning> reigns;
+  };
+
+  Duration DelayOf(const Group& group, std::size_t member) const;
+  // The reign at a time, or the last before it; whether it is over.
+  std::size_t ReignAt(const Group& group, Time now) const;
+
+  std::vector<Group> groups_;
+  std::vector<Where> where_;
+};
+
+}  // namespace lynxgrade::lab
--- /dev/null
+++ b/lab/scale_host.cpp
@@ -0,0 +1,637 @@
+#include "scale_host.h"
+
+#include <fcntl.h>
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/spdlog.h>
+#include <sys/mman.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cmath>
+#include <ctime>
+#include <filesystem>
+#include <fstream>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <stdexcept>
+
+#include "config.h"
+#include "instance.h"
+#include "net/loop.h"
+#include "pooler_process.h"
+#include "scale_databases.h"
+#include "setup.h"
+
+namespace lynxgrade::lab {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kWork{2000};  // of a statement, as the stand-ins' data servers
+constexpr Duration kProbeWork{500};
+constexpr Duration kGone{1000};  // until a connection to a dead machine is refused
+constexpr Duration kLoadEvery{5000};
+constexpr Duration kBetweenStarts{2000};
+constexpr ClassIndex kOwnRead = 1, kHistoryRead = 2, kMatchWrite = 3;  // as ConfigFor orders them
+constexpr double kOwnReads = 0.5;                                      // of all reads
+constexpr Duration kReadTime{1200000}, kWriteTime{5000000};
+
+std::int64_t ThreadUs() {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return now.tv_sec * 1'000'000 + now.tv_nsec / 1000;
+}
+
+// The newest answered write of each session, seen by all hosts at once.
+class Sessions {
+ public:
+  explicit Sessions(const std::string& file) {
+    const int fd = open(file.c_str(), O_RDWR | O_CLOEXEC);
+    size_ = std::filesystem::file_size(file) / sizeof(Word);
+    void* at =
+        fd < 0 ? MAP_FAILED : mmap(nullptr, size_ * sizeof(Word), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    if (fd >= 0) close(fd);
+    if (at == MAP_FAILED) throw std::runtime_error("the table of sessions cannot be mapped");
+    words_ = static_cast<Word*>(at);
+  }
+  ~Sessions() { munmap(words_, size_ * sizeof(Word)); }
+  Sessions(const Sessions&) = delete;
+  Sessions& operator=(const Sessions&) = delete;
+  std::size_t size() const { return size_; }
+
+  void Wrote(std::size_t session, const Held& held) {
+    std::uint64_t known = words_[session].load();
+    const std::uint64_t word = Packed(held);
+    while (known < word && !words_[session].compare_exchange_weak(known, word)) {
+    }
+  }
+  std::optional<Held> Newest(std::size_t session) const {
+    const std::uint64_t word = words_[session].load();
+    if (word == 0) return std::nullopt;
+    return Held{Position(Duration(static_cast<std::int64_t>(word >> 8))), word & 255};
+  }
+
+ private:
+  using Word = std::atomic<std::uint64_t>;
+  // A later position is the newer write whatever its reign: a successor starts after the dead one's last.
+  static std::uint64_t Packed(const Held& held) {
+    return static_cast<std::uint64_t>(held.position.time_since_epoch().count()) << 8 | (held.reign & 255);
+  }
+  Word* words_ = nullptr;
+  std::size_t size_ = 0;
+};
+
+struct Counts {
+  std::uint64_t statements = 0, writes = 0, own_reads = 0, stale = 0, refused = 0, failed = 0, unusable = 0,
+                asked = 0;  // of databases: attempts and probes
+  std::int64_t module_us = 0, apart_us = 0, peers_us = 0;
+};
+
+// What is asked of a hollow database.
+struct HollowWork final : proxy::Work {
+  explicit HollowWork(bool writes) : write(writes) {}
+  std::string TextFor(Duration) const override { return {}; }
+  bool write;
+};
+
+// Measures what the exchange costs while the module runs, which calls it for writes and for reads that wait.
+class TimedPeers final : public peers::Service {
+ public:
+  TimedPeers(std::unique_ptr<peers::Service> peers, Counts& counts)
+      : peers_(std::move(peers)), counts_(counts) {}
+  std::string Start() override { return peers_->Start(); }
+  void ReloadKeys() override { peers_->ReloadKeys(); }
+  void Wrote(GroupId group, session::Key key, const session::Mark& mark) override {
+    const std::int64_t from = ThreadUs();
+    peers_->Wrote(group, key, mark);
+    counts_.peers_us += ThreadUs() - from;
+  }
+  void Solicit() override {
+    const std::int64_t from = ThreadUs();
+    peers_->Solicit();
+    counts_.peers_us += ThreadUs() - from;
+  }
+  bool Ready() const override { return peers_->Ready(); }
+  std::string Describe() const override { return peers_->Describe(); }
+  std::size_t Reached() const override { return peers_->Reached(); }
+  const peers::Traffic& traffic() const override { return peers_->traffic(); }
+  void Leave() override { peers_->Leave(); }
+
+ private:
+  std::unique_ptr<peers::Service> peers_;
+  Counts& counts_;
+};
+
+class Host;
+
+class Hollow final : public proxy::Backends {
+ public:
+  Hollow(Host& host, int number, const std::vector<int>& others);
+  ~Hollow() { *alive_ = false; }
+
+  std::string Start();
+  void Ask(std::size_t session, ClassIndex cls);
+  Instance& instance() { return *instance_; }
+  int number() const { return number_; }
+
+ private:
+  struct Asking final : proxy::Client {
+    Hollow* host = nullptr;
+    std::list<Asking>::iterator self;
+    RequestId id{};
+    std::size_t session = 0;
+    ClassIndex cls = 0;
+    std::optional<Held> must;
+    void Served(const proxy::Answer& answer) override;
+    void Refused(Duration) override;
+    void Failed() override;
+    void Unusable() override;
+    void Over() { host->asking_.erase(self); }
+  };
+  using JobKey = std::pair<RequestId, AttemptNumber>;
+  struct Job {
+    MemberId member{};
+    bool cancelled = false;
+  };
+
+  void Send(RequestId request, AttemptNumber attempt, MemberId member,
+            std::shared_ptr<const proxy::Work> work, proxy::SendTimes times) override;
+  void Cancel(RequestId request, AttemptNumber attempt) override;
+  void Drop(RequestId) override {}
+  void Probe(MemberId member) override;
+  void CloseIdle(MemberId) override {}
+  std::optional<Databases::Where> Find(MemberId member) const;
+  void Answer(proxy::AttemptEnd end, bool write);
+  void End(proxy::AttemptEnd end);
+  void Later(Duration wait, std::function<void()> call);
+
+  Host& host_;
+  int number_;
+  Config config_;
+  Setup setup_;
+  std::map<MemberId, std::size_t> servers_;  // by member, which database
+  std::map<JobKey, Job> out_;
+  std::list<Asking> asking_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::unique_ptr<Instance> instance_;
+};
+
+class Host final : private net::Poller::Handler {
+ public:
+  Host(ScaleSpec spec, int number);
+  ~Host() { loop_.poller().Remove(STDIN_FILENO); }
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+  int Run();
+
+ private:
+  friend class Hollow;
+  void OnEvents(std::uint32_t) override;
+  void Do(const Json& order);
+  void Begin(int pooler, const std::vector<int>& others);
+  void StartNext();
+  void Load();
+  Json Status(bool parts);
+  bool Passes(int from, const std::string& address) const;
+
+  net::Loop loop_;
+  ScaleSpec spec_;
+  int number_;
+  Databases databases_;
+  std::map<int, std::size_t> by_port_;  // databases
+  std::map<int, int> by_udp_;           // poolers
+  Sessions sessions_;
+  Counts counts_;
+  peers::Traffic before_;  // of those that have ended
+  std::map<int, std::unique_ptr<Hollow>> hollow_;
+  std::vector<std::pair<int, std::vector<int>>> to_start_;
+  std::vector<bool> side_;  // by pooler, where the network is cut
+  std::mt19937_64 random_;
+  net::Timer load_, starts_;
+  std::string line_;
+  std::size_t memory_before_ = 0, descriptors_before_ = 0;
+};
+
+// Resident, in KB: what the process has touched.
+std::size_t MemoryKb() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t all = 0, resident = 0;
+  file >> all >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) / 1024;
+}
+
+std::size_t Descriptors() {
+  const std::filesystem::directory_iterator all("/proc/self/fd");
+  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
+// ---- One pooler -----------------------------------------------------------------------------------------
+
+Hollow::Hollow(Host& host, int number, const std::vector<int>& others) : host_(host), number_(number) {
+  auto config = ReadConfig(ScaleConfigOf(host.spec_, number, 1));
+  auto setup = ReadSetup(ScaleSettingsOf(host.spec_, number, others, 0));
+  for (const auto* wrong : {std::get_if<std::string>(&config), std::get_if<std::string>(&setup)}) {
+    if (wrong != nullptr) throw std::runtime_error(*wrong);
+  }
+  config_ = std::move(std::get<Config>(config));
+  setup_ = std::move(std::get<Setup>(setup));
+  Instance::Host parts;
+  parts.address = [this](MemberId member, const net::Address& address) {
+    const auto found = host_.by_port_.find(address.port);
+    if (found != host_.by_port_.end()) servers_[member] = found->second;
+  };
+  parts.forget = [this](MemberId member) { servers_.erase(member); };
+  parts.make_peers = [this](peers::Parts with) -> std::variant<std::unique_ptr<peers::Service>, std::string> {
+    with.passes = [this](const std::string& address) { return host_.Passes(number_, address); };
+    with.members_only = host_.spec_.marks == "none";
+    auto loaded = peers::Load(std::move(with));
+    if (auto* service = std::get_if<std::unique_ptr<peers::Service>>(&loaded)) {
+      return std::make_unique<TimedPeers>(std::move(*service), host_.counts_);
+    }
+    return loaded;
+  };
+  instance_ = std::make_unique<Instance>(host.loop_, config_, setup_, *this, std::move(parts));
+}
+
+std::string Hollow::Start() {
+  const std::string fault = instance_->Start();
+  if (fault.empty()) instance_->Follow();
+  return fault;
+}
+
+void Hollow::Ask(std::size_t session, ClassIndex cls) {
+  const std::size_t group = session % host_.databases_.groups();
+  asking_.emplace_front();
+  Asking& asking = asking_.front();
+  asking.host = this;
+  asking.self = asking_.begin();
+  asking.session = session;
+  asking.cls = cls;
+  if (cls == kOwnRead) asking.must = host_.sessions_.Newest(session);
+  proxy::Ask ask;
+  ask.event.group = GroupId(static_cast<std::int64_t>(group) + 1);
+  ask.event.cls = cls;
+  ask.event.session = "s" + std::to_string(session);
+  ask.event.time_left = cls == kMatchWrite ? kWriteTime : kReadTime;
+  ask.work = std::make_shared<HollowWork>(cls == kMatchWrite);
+  ++host_.counts_.statements;
+  const std::int64_t peers = host_.counts_.peers_us, from = ThreadUs();
+  instance_->proxy().Take(std::move(ask), asking, asking.id);
+  host_.counts_.module_us += ThreadUs() - from - (host_.counts_.peers_us - peers);
+}
+
+void Hollow::Asking::Served(const proxy::Answer& answer) {
+  Host& of = host->host_;
+  Held held;
+  const std::size_t space = answer.row.find(' ');
+  held.position = Position(Duration(std::stoll(answer.row.substr(0, space))));
+  held.reign = std::stoull(answer.row.substr(space + 1));
+  if (cls == kMatchWrite) {
+    ++of.counts_.writes;
+    of.sessions_.Wrote(session, held);
+  } else if (cls == kOwnRead) {
+    ++of.counts_.own_reads;
+    of.counts_.stale += must && !of.databases_.Has(session % of.databases_.groups(), held, *must);
+  }
+  Over();
+}
+void Hollow::Asking::Refused(Duration) {
+  ++host->host_.counts_.refused;
+  Over();
+}
+void Hollow::Asking::Failed() {
+  ++host->host_.counts_.failed;
+  Over();
+}
+void Hollow::Asking::Unusable() {
+  ++host->host_.counts_.unusable;
+  Over();
+}
+
+void Hollow::Later(Duration wait, std::function<void()> call) {
+  host_.loop_.At(host_.loop_.Now() + wait, [alive = std::weak_ptr(alive_), call = std::move(call)] {
+    if (!alive.expired()) call();
+  });
+}
+
+std::optional<Databases::Where> Hollow::Find(MemberId member) const {
+  const auto found = servers_.find(member);
+  if (found == servers_.end()) return std::nullopt;
+  return host_.databases_.At(found->second);
+}
+
+void Hollow::Send(RequestId request, AttemptNumber attempt, MemberId member,
+                  std::shared_ptr<const proxy::Work> work, proxy::SendTimes) {
+  ++host_.counts_.asked;
+  out_[{request, attempt}] = {member, false};
+  proxy::AttemptEnd end;
+  end.request = request;
+  end.attempt = attempt;
+  end.member = member;
+  const bool write = static_cast<const HollowWork&>(*work).write;
+  const auto where = Find(member);
+  if (!where || !host_.databases_.Up(*where, host_.loop_.Now())) {
+    end.outcome = Outcome::kUnreachable;
+    end.taken = kGone;
+    return Later(kGone, [this, end] { End(end); });
+  }
+  Later(kWork, [this, end, write] { Answer(end, write); });
+}
+
+void Hollow::Answer(proxy::AttemptEnd end, bool write) {
+  const std::int64_t from = ThreadUs();
+  const Time now = host_.loop_.Now();
+  const Databases& databases = host_.databases_;
+  const auto where = Find(end.member);
+  end.taken = kWork;
+  if (!where || !databases.Up(*where, now)) {
+    end.outcome = Outcome::kBroken;
+  } else {
+    end.note.primary = databases.IsPrimary(*where, now);
+    end.note.position = databases.Tells(*where, now);
+    std::optional<Held> held = databases.Holds(*where, now);
+    if (write) held = databases.Commit(*where, now);
+    if (held) {
+      if (write) end.note.position = held->position;
+      end.outcome = Outcome::kOk;
+      end.answer = proxy::Answer{
+          {},
+          std::to_string(held->position.time_since_epoch().count()) + " " + std::to_string(held->reign),
+          {}};
+    } else {
+      end.outcome = Outcome::kMiss;
+    }
+  }
+  host_.counts_.apart_us += ThreadUs() - from;
+  End(std::move(end));
+}
+
+void Hollow::End(proxy::AttemptEnd end) {
+  if (out_.erase({end.request, end.attempt}) == 0) return;  // it was called off
+  const std::int64_t peers = host_.counts_.peers_us, from = ThreadUs();
+  static_cast<proxy::BackendEvents&>(instance_->proxy()).OnAttemptEnd(std::move(end));
+  host_.counts_.module_us += ThreadUs() - from - (host_.counts_.peers_us - peers);
+}
+
+void Hollow::Cancel(RequestId request, AttemptNumber attempt) {
+  const auto job = out_.find({request, attempt});
+  if (job == out_.end() || job->second.cancelled) return;
+  job->second.cancelled = true;
+  proxy::AttemptEnd end;
+  end.request = request;
+  end.attempt = attempt;
+  end.member = job->second.member;
+  end.outcome = Outcome::kCancelled;
+  Later(Duration{0}, [this, end] { End(end); });
+}
+
+void Hollow::Probe(MemberId member) {
+  ++host_.counts_.asked;
+  Later(kProbeWork, [this, member] {
+    const Time now = host_.loop_.Now();
+    const auto where = Find(member);
+    ProbeEvent end;
+    end.member = member;
+    end.taken = kProbeWork;
+    end.outcome = Outcome::kUnreachable;
+    if (where && host_.databases_.Up(*where, now)) {
+      end.outcome = Outcome::kOk;
+      end.report.emplace();
+      end.report->position = host_.databases_.Tells(*where, now);
+      end.report->primary = host_.databases_.IsPrimary(*where, now);
+    }
+    static_cast<proxy::BackendEvents&>(instance_->proxy()).OnProbeEnd(end);
+  });
+}
+
+// ---- The process ----------------------------------------------------------------------------------------
+
+Host::Host(ScaleSpec spec, int number)
+    : spec_(std::move(spec)),
+      number_(number),
+      databases_(spec_.groups),
+      sessions_(spec_.folder + kSessionsFile),
+      random_(spec_.seed * 1000 + static_cast<std::uint64_t>(number)),
+      load_(loop_),
+      starts_(loop_) {
+  for (std::size_t i = 0; i < spec_.endpoints.size(); ++i) by_port_[spec_.endpoints[i]] = i;
+  for (std::size_t i = 0; i < spec_.udp.size(); ++i) by_udp_[spec_.udp[i]] = static_cast<int>(i);
+  std::vector<int> all;
+  for (int i = 0; i < spec_.poolers; ++i) all.push_back(i);
+  for (int i = spec_.real; i < spec_.poolers; ++i) {
+    if (spec_.HostOf(i) == number_) to_start_.emplace_back(i, all);
+  }
+  fcntl(STDIN_FILENO, F_SETFL, O_NONBLOCK);
+  loop_.poller().Add(STDIN_FILENO, EPOLLIN, *this);
+  // What a first instance needs once, the loaded module above all, is not a further one's.
+  memory_before_ = MemoryKb();
+  descriptors_before_ = Descriptors();
+  StartNext();
+}
+
+void Host::Begin(int pooler, const std::vector<int>& others) {
+  auto& hollow = hollow_[pooler];
+  hollow = std::make_unique<Hollow>(*this, pooler, others);
+  const std::string fault = hollow->Start();
+  if (!fault.empty()) throw std::runtime_error("hollow pooler " + std::to_string(pooler) + ": " + fault);
+}
+
+void Host::StartNext() {
+  if (to_start_.empty()) return;
+  const auto [pooler, others] = std::move(to_start_.front());
+  to_start_.erase(to_start_.begin());
+  Begin(pooler, others);
+  if (hollow_.size() == 1) memory_before_ = MemoryKb();
+  starts_.After(kBetweenStarts, [this] { StartNext(); });
+}
+
+bool Host::Passes(int from, const std::string& address) const {
+  if (side_.empty()) return true;
+  const auto to = by_udp_.find(std::atoi(address.c_str() + address.rfind(':') + 1));
+  return to == by_udp_.end() ||
+         side_[static_cast<std::size_t>(from)] == side_[static_cast<std::size_t>(to->second)];
+}
+
+void Host::OnEvents(std::uint32_t) {
+  char buffer[4096];
+  ssize_t size = 0;
+  while ((size = read(STDIN_FILENO, buffer, sizeof buffer)) > 0)
+    line_.append(buffer, static_cast<std::size_t>(size));
+  if (size == 0) return loop_.Stop();  // the coordinator is gone
+  for (std::size_t end; (end = line_.find('\n')) != std::string::npos; line_.erase(0, end + 1)) {
+    Do(Json::parse(line_.substr(0, end)));
+  }
+}
+
+void Host::Do(const Json& order) {
+  const std::string what = order.at("do");
+  if (what == "status" || what == "end") {
+    std::printf("%s\n", Status(what == "end").dump().c_str());
+    std::fflush(stdout);
+    if (what == "end") loop_.Stop();
+  } else if (what == "load") {
+    Load();
+  } else if (what == "cut") {
+    side_.assign(spec_.udp.size(), false);
+    for (const int pooler : order.at("who")) side_[static_cast<std::size_t>(pooler)] = true;
+  } else if (what == "heal") {
+    side_.clear();
+  } else if (what == "kill") {
+    for (const int pooler : order.at("who")) {
+      const auto it = hollow_.find(pooler);
+      if (it == hollow_.end()) continue;
+      const peers::Traffic& traffic = it->second->instance().peers()->traffic();
+      for (std::size_t kind = 0; kind < peers::kKinds.size(); ++kind) {
+        before_.out[kind].packets += traffic.out[kind].packets;
+        before_.out[kind].bytes += traffic.out[kind].bytes;
+        before_.in[kind].packets += traffic.in[kind].packets;
+        before_.in[kind].bytes += traffic.in[kind].bytes;
+      }
+      hollow_.erase(it);
+    }
+  } else if (what == "start") {
+    for (const int pooler : order.at("who"))
+      to_start_.emplace_back(pooler, order.at("others").get<std::vector<int>>());
+    StartNext();
+  } else if (what == "die") {
+    databases_.Die(order.at("group"), order.at("member"), Time(Duration(order.at("at").get<std::int64_t>())));
+  } else if (what == "return") {
+    databases_.Return(order.at("group"), order.at("member"),
+                      Time(Duration(order.at("at").get<std::int64_t>())));
+  } else if (what == "reign") {
+    databases_.Reign(order.at("group"), order.at("member"),
+                     Time(Duration(order.at("at").get<std::int64_t>())));
+  } else if (what == "move") {
+    for (const auto& [pooler, hollow] : hollow_) {
+      hollow->instance().MoveTo({"127.0.0.1", order.at("port").get<std::uint16_t>()});
+    }
+  }
+}
+
+void Host::Load() {
+  load_.After(kLoadEvery, [this] { Load(); });
+  const std::int64_t module = counts_.module_us, peers = counts_.peers_us, from = ThreadUs();
+  const auto uniform = [this] { return std::uniform_real_distribution<double>(0, 1)(random_); };
+  const std::size_t homes = sessions_.size() / kSessionsEach;
+  for (auto& [number, hollow] : hollow_) {
+    // Of an instance that has just started nothing is asked, as its port is not open yet.
+    if (!hollow->instance().listed() || !hollow->instance().Counted()) continue;
+    const double mean = spec_.statements_per_s * static_cast<double>(kLoadEvery.count()) * 1e-6;
+    const int count = std::poisson_distribution<int>(mean)(random_);
+    for (int i = 0; i < count; ++i) {
+      const std::size_t home =
+          uniform() < spec_.roam_share ? random_() % homes : static_cast<std::size_t>(number) % homes;
+      const std::size_t session = home * kSessionsEach + random_() % kSessionsEach;
+      const ClassIndex cls = uniform() < spec_.writes_share ? kMatchWrite
+                             : uniform() < kOwnReads        ? kOwnRead
+                                                            : kHistoryRead;
+      hollow->Ask(session, cls);
+    }
+  }
+  counts_.apart_us += ThreadUs() - from - (counts_.module_us - module) - (counts_.peers_us - peers);
+}
+
+Json Host::Status(bool parts) {
+  peers::Traffic all = before_;
+  std::uint64_t marked = 0, floored = 0, turned = 0, probes = 0, listed = 0;
+  std::map<int, std::size_t> reached;
+  Json of_parts = Json::object();
+  for (const auto& [number, hollow] : hollow_) {
+    const Instance& instance = hollow->instance();
+    const peers::Traffic& traffic = instance.peers()->traffic();
+    for (std::size_t kind = 0; kind < peers::kKinds.size(); ++kind) {
+      all.out[kind].packets += traffic.out[kind].packets;
+      all.out[kind].bytes += traffic.out[kind].bytes;
+      all.in[kind].packets += traffic.in[kind].packets;
+      all.in[kind].bytes += traffic.in[kind].bytes;
+    }
+    const session::KeeperCounts& keeper = instance.proxy().keeper().counts();
+    marked += keeper.marked;
+    floored += keeper.floored;
+    turned += keeper.lost + keeper.unknown;
+    probes += instance.proxy().counts().probes;
+    listed += instance.data_servers() == databases_.size();
+    reached[number] = instance.peers()->Reached();
+    if (parts) {
+      const Json said = Json::parse(instance.peers()->Describe());
+      const std::string part = said.at("part");
+      of_parts[part] = of_parts.value(part, 0) + 1;
+    }
+  }
+  Json kinds = Json::object();
+  for (std::size_t kind = 0; kind < peers::kKinds.size(); ++kind) {
+    kinds[peers::kKinds[kind]] = {all.out[kind].packets, all.out[kind].bytes, all.in[kind].packets,
+                                  all.in[kind].bytes};
+  }
+  const std::size_t more = hollow_.size() > 1 ? hollow_.size() - 1 : 1;
+  return {{"hollow", hollow_.size()},
+          {"starting", to_start_.size()},
+          {"listed", listed},
+          {"reached", reached},
+          {"parts", of_parts},
+          {"traffic", kinds},
+          {"statements", counts_.statements},
+          {"writes", counts_.writes},
+          {"own_reads", counts_.own_reads},
+          {"stale", counts_.stale},
+          {"refused", counts_.refused},
+          {"failed", counts_.failed + counts_.unusable},
+          {"asked", counts_.asked},
+          {"probes", probes},
+          {"marked", marked},
+          {"floored", floored},
+          {"turned", turned},
+          {"module_us", counts_.module_us},
+          {"apart_us", counts_.apart_us},
+          {"peers_us", counts_.peers_us},
+          {"memory_kb_each", static_cast<double>(MemoryKb() - memory_before_) / static_cast<double>(more)},
+          {"descriptors_each", static_cast<double>(Descriptors() - descriptors_before_) /
+                                   static_cast<double>(std::max<std::size_t>(1, hollow_.size()))}};
+}
+
+int Host::Run() {
+  loop_.Run();
+  return 0;
+}
+
+}  // namespace
+
+std::string ScaleConfigOf(const ScaleSpec& spec, int pooler, int port) {
+  const std::string name = "n" + std::to_string(pooler);
+  Json config = Json::parse(
+      ConfigFor(name, static_cast<std::uint16_t>(port), static_cast<std::uint16_t>(spec.discovery), "off"));
+  Json& settings = config["settings"];
+  settings["peers_total"] = spec.poolers;
+  settings["me"] = pooler;
+  settings["customers"][0]["quota_per_s"] = 1e6;  // no limit of a tenant's is measured here
+  config["seed"] = fmt::format("{:016x}", spec.seed * 1'000'003 + static_cast<std::uint64_t>(pooler));
+  return config.dump();
+}
+
+std::string ScaleSettingsOf(const ScaleSpec& spec, int pooler, const std::vector<int>& others, int control) {
+  const auto at = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
+  std::string seeds;
+  for (const int other : others) {
+    if (other == pooler) continue;
+    seeds += (seeds.empty() ? "" : ", ") + at(spec.udp[static_cast<std::size_t>(other)]);
+  }
+  std::string text = "[sessions]\nscope = \"everywhere\"\n[peers]\nlisten = " +
+                     at(spec.udp[static_cast<std::size_t>(pooler)]) + "\nseeds = [" + seeds +
+                     "]\nkey_file = \"" + spec.folder + "/key\"\n";
+  if (control > 0) text += "[control]\nlisten = " + at(control) + "\n";
+  return text;
+}
+
+int RunHost(const std::string& spec_file, int number) {
+  std::ifstream file(spec_file);
+  const ScaleSpec spec = Json::parse(file).get<ScaleSpec>();
+  // An instance's own log would be one of hundreds in one file.
+  spdlog::set_default_logger(
+      spdlog::basic_logger_st("host", spec.folder + "/host" + std::to_string(number) + ".log"));
+  spdlog::set_level(spdlog::level::warn);
+  return Host(spec, number).Run();
+}
+
+}  // namespace lynxgrade::lab
--- /dev/null
+++ b/lab/scale_host.h
@@ -0,0 +1,40 @@
+// A process that hosts hollow poolers: the product's own instances on its own loop and real datagrams, before
+// databases that answer from a table. It does what the scale run tells it, a line of JSON at a time, and
+// answers each question with one.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace lynxgrade::lab {
+
+// What the coordinator and its hosts agree on at the start; written to a file as JSON.
+struct ScaleSpec {
+  std::string folder;  // for files of all
+  std::string marks;   // how they are exchanged
+  int poolers = 0, real = 0, hosts = 0;
+  std::uint64_t seed = 0;
+  std::vector<int> udp;        // of the i-th pooler; more than there are: for those that replace others
+  std::vector<int> groups;     // members of each
+  std::vector<int> endpoints;  // port of each database, in the order of groups
+  int discovery = 0;           // port
+  double statements_per_s = 0, writes_share = 0, roam_share = 0;
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(ScaleSpec, folder, marks, poolers, real, hosts, seed, udp, groups, endpoints,
+                                 discovery, statements_per_s, writes_share, roam_share)
+
+  int HostOf(int pooler) const { return (pooler - real) % hosts; }
+};
+
+// The two files of a pooler, alike for real and hollow ones. `others`: whose addresses it is given.
+std::string ScaleConfigOf(const ScaleSpec& spec, int pooler, int port);
+std::string ScaleSettingsOf(const ScaleSpec& spec, int pooler, const std::vector<int>& others, int control);
+
+// Sessions that are written and read, kept in a file that all hosts map; a number of them a pooler.
+constexpr int kSessionsEach = 64;
+constexpr const char* kSessionsFile = "/sessions";
+
+int RunHost(const std::string& spec_file, int host);
+
+}  // namespace lynxgrade::lab
