--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -107,7 +107,9 @@
   of_scale->add_option("--writes-share", scale.writes_share, "of the statements");
   of_scale->add_option("--roam-share", scale.roam_share, "of the statements, of sessions of other poolers");
   of_scale->add_option("--changes-per-s", scale.changes_per_s, "of the list; the script's own if left out");
-  of_scale->add_option("--hosts", scale.hosts, "processes that host hollow poolers; 0: by their number");
+  of_scale->add_option("--alone", scale.alone,
+                       "hollow poolers with a process of their own, whose processor time is told");
+  of_scale->add_option("--hosts", scale.hosts, "processes that host the others; 0: by their number");
   of_scale->add_option("--settle-s", scale.settle_s, "for all to meet, at most");
   of_scale->add_option("--json", scale.json, "also write the record of the run to this file");
   of_scale->add_option("--commit", scale.commit, "what was built, for the record");
--- a/lab/scale_host.cpp
+++ b/lab/scale_host.cpp
@@ -89,6 +89,27 @@
   std::int64_t module_us = 0, apart_us = 0, peers_us = 0;
 };
 
+// What instances have done by their own counts.
+struct Done {
+  peers::Traffic traffic;
+  std::uint64_t probes = 0, marked = 0, floored = 0, turned = 0;
+
+  void Add(const Instance& instance) {
+    const peers::Traffic& more = instance.peers()->traffic();
+    for (std::size_t kind = 0; kind < peers::kKinds.size(); ++kind) {
+      traffic.out[kind].packets += more.out[kind].packets;
+      traffic.out[kind].bytes += more.out[kind].bytes;
+      traffic.in[kind].packets += more.in[kind].packets;
+      traffic.in[kind].bytes += more.in[kind].bytes;
+    }
+    const session::KeeperCounts& keeper = instance.proxy().keeper().counts();
+    probes += instance.proxy().counts().probes;
+    marked += keeper.marked;
+    floored += keeper.floored;
+    turned += keeper.lost + keeper.unknown;
+  }
+};
+
 // What is asked of a hollow database.
 struct HollowWork final : proxy::Work {
   explicit HollowWork(bool writes) : write(writes) {}
@@ -204,7 +225,7 @@
   std::map<int, int> by_udp_;           // poolers
   Sessions sessions_;
   Counts counts_;
-  peers::Traffic before_;  // of those that have ended
+  Done before_;  // by those that have ended
   std::map<int, std::unique_ptr<Hollow>> hollow_;
   std::vector<std::pair<int, std::vector<int>>> to_start_;
   std::vector<bool> side_;  // by pooler, where the network is cut
@@ -482,13 +503,7 @@
     for (const int pooler : order.at("who")) {
       const auto it = hollow_.find(pooler);
       if (it == hollow_.end()) continue;
-      const peers::Traffic& traffic = it->second->instance().peers()->traffic();
-      for (std::size_t kind = 0; kind < peers::kKinds.size(); ++kind) {
-        before_.out[kind].packets += traffic.out[kind].packets;
-        before_.out[kind].bytes += traffic.out[kind].bytes;
-        before_.in[kind].packets += traffic.in[kind].packets;
-        before_.in[kind].bytes += traffic.in[kind].bytes;
-      }
+      before_.Add(it->second->instance());
       hollow_.erase(it);
     }
   } else if (what == "start") {
@@ -534,24 +549,13 @@
 }
 
 Json Host::Status(bool parts) {
-  peers::Traffic all = before_;
-  std::uint64_t marked = 0, floored = 0, turned = 0, probes = 0, listed = 0;
+  Done all = before_;
+  std::uint64_t listed = 0;
   std::map<int, std::size_t> reached;
   Json of_parts = Json::object();
   for (const auto& [number, hollow] : hollow_) {
     const Instance& instance = hollow->instance();
-    const peers::Traffic& traffic = instance.peers()->traffic();
-    for (std::size_t kind = 0; kind < peers::kKinds.size(); ++kind) {
-      all.out[kind].packets += traffic.out[kind].packets;
-      all.out[kind].bytes += traffic.out[kind].bytes;
-      all.in[kind].packets += traffic.in[kind].packets;
-      all.in[kind].bytes += traffic.in[kind].bytes;
-    }
-    const session::KeeperCounts& keeper = instance.proxy().keeper().counts();
-    marked += keeper.marked;
-    floored += keeper.floored;
-    turned += keeper.lost + keeper.unknown;
-    probes += instance.proxy().counts().probes;
+    all.Add(instance);
     listed += instance.data_servers() == databases_.size();
     reached[number] = instance.peers()->Reached();
     if (parts) {
@@ -562,8 +566,8 @@
   }
   Json kinds = Json::object();
   for (std::size_t kind = 0; kind < peers::kKinds.size(); ++kind) {
-    kinds[peers::kKinds[kind]] = {all.out[kind].packets, all.out[kind].bytes, all.in[kind].packets,
-                                  all.in[kind].bytes};
+    kinds[peers::kKinds[kind]] = {all.traffic.out[kind].packets, all.traffic.out[kind].bytes,
+                                  all.traffic.in[kind].packets, all.traffic.in[kind].bytes};
   }
   const std::size_t more = hollow_.size() > 1 ? hollow_.size() - 1 : 1;
   return {{"hollow", hollow_.size()},
@@ -579,10 +583,10 @@
           {"refused", counts_.refused},
           {"failed", counts_.failed + counts_.unusable},
           {"asked", counts_.asked},
-          {"probes", probes},
-          {"marked", marked},
-          {"floored", floored},
-          {"turned", turned},
+          {"probes", all.probes},
+          {"marked", all.marked},
+          {"floored", all.floored},
+          {"turned", all.turned},
           {"module_us", counts_.module_us},
           {"apart_us", counts_.apart_us},
           {"peers_us", counts_.peers_us},
@@ -617,7 +621,7 @@
     if (other == pooler) continue;
     seeds += (seeds.empty() ? "" : ", ") + at(spec.udp[static_cast<std::size_t>(other)]);
   }
-  std::string text = "[sessions]\nscope = \"everywhere\"\n[peers]\nlisten = " +
+  std::string text = "[sessions]\nscope = \"everywhere\"\nrecall_s = 10\n[peers]\nlisten = " +
                      at(spec.udp[static_cast<std::size_t>(pooler)]) + "\nseeds = [" + seeds +
                      "]\nkey_file = \"" + spec.folder + "/key\"\n";
   if (control > 0) text += "[control]\nlisten = " + at(control) + "\n";
--- a/lab/scale_host.h
+++ b/lab/scale_host.h
@@ -14,17 +14,24 @@
 struct ScaleSpec {
   std::string folder;  // for files of all
   std::string marks;   // how they are exchanged
-  int poolers = 0, real = 0, hosts = 0;
+  int poolers = 0, real = 0;
+  int alone = 0;  // hollow poolers with a process of their own: the first
+  int hosts = 0;  // processes for the others
   std::uint64_t seed = 0;
   std::vector<int> udp;        // of the i-th pooler; more than there are: for those that replace others
   std::vector<int> groups;     // members of each
   std::vector<int> endpoints;  // port of each database, in the order of groups
   int discovery = 0;           // port
   double statements_per_s = 0, writes_share = 0, roam_share = 0;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(ScaleSpec, folder, marks, poolers, real, hosts, seed, udp, groups, endpoints,
-                                 discovery, statements_per_s, writes_share, roam_share)
-
-  int HostOf(int pooler) const { return (pooler - real) % hosts; }
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(ScaleSpec, folder, marks, poolers, real, alone, hosts, seed, udp, groups,
+                                 endpoints, discovery, statements_per_s, writes_share, roam_share)
+
+  // The processes of those alone come first.
+  int HostOf(int pooler) const {
+    const int hollow = pooler - real;
+    return hollow < alone ? hollow : alone + (hollow - alone) % hosts;
+  }
+  int processes() const { return alone + hosts; }
 };
 
 // The two files of a pooler, alike for real and hollow ones. `others`: whose addresses it is given.
--- a/lab/scale_run.cpp
+++ b/lab/scale_run.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -39,6 +40,10 @@
 constexpr Duration kAnswerWithin{20'000'000};  // a host's; for one that never will, not a measure of speed
 constexpr Duration kAhead{300'000};  // orders that all hosts are to follow at one time come so long before
 constexpr Duration kFailover{1'500'000}, kReturnAfter{4'000'000};
+constexpr Duration kNewsOfMeeting{3'000'000};  // is still under way when all have met
+// With a load, until what may have been answered before the start does not matter any more (recall_s).
+constexpr Duration kRecalled{13'000'000};
+constexpr Duration kLongestNews{240'000'000};  // a run stays bounded
 constexpr int kMembersAGroup = 3;
 constexpr int kSpareNames = 16;        // for those that replace others
 constexpr int kFirstEndpoint = 20000;  // of databases that nobody connects to
@@ -184,6 +189,7 @@
     spec_.marks = options.marks;
     spec_.poolers = options.poolers;
     spec_.real = options.real;
+    spec_.alone = options.alone;
     spec_.hosts = HostsFor(options);
     spec_.seed = options.seed;
     spec_.udp = FreePorts(options.poolers + kSpareNames, true);
@@ -205,7 +211,9 @@
     Tell("met", met);
     Tell("met_after_s", SecondsSince(began_));
     if (HasLoad(options_.script)) All({{"do", "load"}});
-    Pass(kSecond * 3);  // what news of the meeting is still under way
+    const Time met_at = loop_.Now();
+    Pass(WarmUp());
+    Tell("warmed_s", SecondsSince(met_at));
     if (ChangesPerS(options_) > 0) Change();
     for (const Step& step : steps) {
       loop_.At(loop_.Now() + step.at, [this, step] { Do(step); });
@@ -232,6 +240,15 @@
   }
 
  private:
+  // Where membership goes alone, the news of the meeting has few packets to go with: each member is told some
+  // 3 log2(n) times by each, six in a packet, ten packets a second.
+  Duration WarmUp() const {
+    Duration time = HasLoad(options_.script) ? kRecalled : kNewsOfMeeting;
+    if (options_.marks != "none") return time;
+    const double n = options_.poolers;
+    return std::min(kLongestNews,
+                    time + Duration(static_cast<std::int64_t>(1e6 * n * 3 * std::log2(n + 2) / 60)));
+  }
   double SecondsSince(Time from) const { return static_cast<double>((loop_.Now() - from).count()) * 1e-6; }
   void Tell(const std::string& name, double value) { figures_[name] = value; }
 
@@ -289,7 +306,8 @@
       const std::string fault = real_.back()->Start();
       if (!fault.empty()) throw std::runtime_error("a pooler cannot be started: " + fault);
     }
-    for (int i = 0; i < spec_.hosts; ++i) hosts_.push_back(std::make_unique<HostProcess>(loop_, file, i));
+    for (int i = 0; i < spec_.processes(); ++i)
+      hosts_.push_back(std::make_unique<HostProcess>(loop_, file, i));
   }
 
   void Pass(Duration time) {
@@ -363,9 +381,20 @@
       for (const auto& [name, reached] : of.at("reached").get<std::map<int, int>>())
         sum.of["reached"] += reached;
       const double n = of.at("hollow").get<double>();
-      sum.of["memory_mb"] += of.at("memory_kb_each").get<double>() / 1024 * n;
+      if (n > 1) sum.of["memory_mb"] += of.at("memory_kb_each").get<double>() / 1024 * n;
+      if (n > 1) sum.of["memory_of"] += n;
       sum.of["descriptors"] += of.at("descriptors_each").get<double>() * n;
-      sum.of["cpu_s"] += CpuOf(hosts_[i]->id());
+      // Of many in one process a turn of the loop serves several: less than each spends by itself.
+      const bool alone = static_cast<int>(i) < spec_.alone;
+      const double us = of.at("module_us").get<double>() + of.at("apart_us").get<double>();
+      const double spent = CpuOf(hosts_[i]->id()) - us * 1e-6;
+      sum.of[alone ? "alone_cpu_s" : "crowd_cpu_s"] += spent;
+      if (alone || spec_.alone == 0) {
+        sum.of["cpu_s"] += spent;
+        sum.of["cpu_of"] += n;
+      } else {
+        sum.of["crowd"] += n;
+      }
     }
     return sum;
   }
@@ -403,7 +432,7 @@
     double& bytes = figures_["control_bytes_per_s_peak"];
     bytes = std::max(bytes, (to["bytes_out"] + to["bytes_in"] - from["bytes_out"] - from["bytes_in"]) / each);
     double& cpu = figures_["control_cpu_share_peak"];
-    cpu = std::max(cpu, ControlCpu(from, to) / each);
+    cpu = std::max(cpu, ControlCpu(from, to));
     if (to["hollow"] > 0) {
       double& least = figures_["in_reach_least"];
       const double reached = to["reached"] / to["hollow"];
@@ -411,10 +440,9 @@
     }
   }
 
-  // Less the module's work for statements, and the stand-ins.
+  // Of one, by those in processes of their own; less the module's work for statements, and the stand-ins.
   static double ControlCpu(const Sum& from, const Sum& to) {
-    const auto us = [&](const char* name) { return (to[name] - from[name]) * 1e-6; };
-    return to["cpu_s"] - from["cpu_s"] - us("module_us") - us("apart_us");
+    return (to["cpu_s"] - from["cpu_s"]) / std::max(1.0, to["cpu_of"]) / (to.at - from.at);
   }
 
   std::uint64_t Calls() const { return agent_.calls() + second_.calls(); }
@@ -427,7 +455,7 @@
     Tell("poolers", options_.poolers);
     Tell("databases", options_.databases);
     Tell("real", options_.real);
-    Tell("hosts", spec_.hosts);
+    Tell("processes", spec_.processes());
     Tell("measured_s", seconds);
     for (const char* kind : peers::kKinds) {
       for (const char* way : {"_bytes_out", "_bytes_in"})
@@ -439,12 +467,14 @@
     Tell("discovery_bytes_in_per_s", by_discovery);
     Tell("calls_per_s_at_discovery", (static_cast<double>(Calls()) - calls) / seconds);
     Tell("bytes_out_per_s_at_discovery", by_discovery * options_.poolers);
-    const double bytes = rate("bytes_out") + rate("bytes_in") + by_discovery,
-                 cpu = ControlCpu(from, to) / each;
+    const double bytes = rate("bytes_out") + rate("bytes_in") + by_discovery, cpu = ControlCpu(from, to);
     Tell("control_bytes_per_s", bytes);
     Tell("control_cpu_share", cpu);
     Tell("cpu_share", cpu);
-    Tell("control_memory_mb", to["memory_mb"] / std::max(1.0, to["hollow"]));
+    if (to["crowd"] > 0) {
+      Tell("crowd_cpu_share", (to["crowd_cpu_s"] - from["crowd_cpu_s"]) / to["crowd"] / seconds);
+    }
+    Tell("control_memory_mb", to["memory_mb"] / std::max(1.0, to["memory_of"]));
     Tell("memory_mb", figures_["control_memory_mb"]);
     Tell("descriptors", to["descriptors"] / std::max(1.0, to["hollow"]));
     const double statements = to["statements"] - from["statements"];
--- a/lab/scale_script.cpp
+++ b/lab/scale_script.cpp
@@ -41,7 +41,7 @@
 
 int HostsFor(const ScaleOptions& options) {
   if (options.hosts > 0) return options.hosts;
-  return std::clamp((options.poolers - options.real + 19) / 20, 1, 7);
+  return std::clamp((options.poolers - options.real - options.alone + 19) / 20, 1, 7);
 }
 
 Place PlaceOf(int pooler, int real) {
@@ -85,9 +85,12 @@
     return "real poolers exchange marks: --marks none is played with --real 0 alone";
   }
   const int hollow = options.poolers - options.real;
-  if (HostsFor(options) > hollow) return "there are more hosting processes than hollow poolers";
+  if (HostsFor(options) + options.alone > hollow) {
+    return "there are more processes for hollow poolers than hollow poolers: " +
+           std::to_string(HostsFor(options) + options.alone) + " and " + std::to_string(hollow);
+  }
   // The coordinator holds a listener for each database of real poolers and discovery's watchers.
-  const auto each = static_cast<std::size_t>((hollow + HostsFor(options) - 1) / HostsFor(options));
+  const auto each = static_cast<std::size_t>((hollow - options.alone) / HostsFor(options) + 1);
   const std::size_t own =
       static_cast<std::size_t>(options.poolers * 2 + kDescriptorsRest) +
       (options.real > 0 ? static_cast<std::size_t>(options.databases * (1 + 2 * options.real)) : 0);
--- a/lab/scale_script.h
+++ b/lab/scale_script.h
@@ -24,8 +24,9 @@
   double writes_share = 0.05;
   double roam_share = 0.1;    // of statements, of a session whose home is another pooler
   double changes_per_s = -1;  // of the list; below zero: the script's own
-  int hosts = 0;              // processes that host hollow poolers; 0: by their number
-  int settle_s = 90;          // to meet, at most
+  int alone = 4;      // of the hollow ones, each in a process of its own: their processor time is what counts
+  int hosts = 0;      // processes that host the others; 0: by their number
+  int settle_s = 90;  // to meet, at most
   std::string json;
   std::string commit;  // for the record alone
 };
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,266 @@
+// What the scale run decides: whether a run can be played, its scripts' steps, and its hollow databases; and
+// the seam that it stands on, an instance without sockets that is taken down while its loop runs on.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+#include "instance.h"
+#include "scale_databases.h"
+#include "scale_host.h"
+#include "scale_script.h"
+
+namespace lynxgrade::lab {
+namespace {
+
+const Machine kLarge{20000, 20000};
+
+Time At(std::int64_t ms) { return Time(Duration(1'000'000'000'000 + ms * 1000)); }
+
+TEST_CASE("sizes and scripts that cannot be played are refused with a sentence") {
+  ScaleOptions options;
+  CHECK(WhyNotPlayed(options, kLarge) == "");
+  const auto refused = [&](auto change) {
+    ScaleOptions wrong = options;
+    change(wrong);
+    return WhyNotPlayed(wrong, kLarge);
+  };
+  CHECK(refused([](auto& o) { o.script = "flood"; }).find("there is no script \"flood\": quiet, ") == 0);
+  CHECK(refused([](auto& o) { o.marks = "some"; }).find("marks") == 0);
+  CHECK(refused([](auto& o) { o.poolers = 2; }) ==
+        "--poolers 2 cannot be played: it has to lie between 3 and 1000");
+  CHECK(refused([](auto& o) { o.poolers = 1001; }).find("--poolers 1001") == 0);
+  CHECK(refused([](auto& o) { o.databases = 0; }).find("--databases 0") == 0);
+  CHECK(refused([](auto& o) { o.real = 41, o.poolers = 100; }).find("--real 41") == 0);
+  CHECK(refused([](auto& o) { o.seconds = 0; }).find("--seconds 0") == 0);
+  CHECK(refused([](auto& o) { o.writes_share = 1.5; }).find("--writes-share 1.5") == 0);
+  CHECK(refused([](auto& o) { o.roam_share = -0.1; }).find("--roam-share -0.1") == 0);
+  CHECK(refused([](auto& o) { o.real = 4, o.poolers = 4; }) ==
+        "of the poolers at least one has to be hollow");
+  CHECK(refused([](auto& o) { o.hosts = 39, o.poolers = 40; }).find("there are more processes") == 0);
+  CHECK(refused([](auto& o) { o.marks = "none"; }).find("--real 0") != std::string::npos);
+}
+
+TEST_CASE("a machine that is too small for the size is named before anything is started") {
+  ScaleOptions options;
+  options.poolers = 820;
+  options.real = 0;
+  CHECK(WhyNotPlayed(options, kLarge) == "");
+  CHECK(WhyNotPlayed(options, {20000, 500}).find("MB of memory and may take 500") != std::string::npos);
+  CHECK(WhyNotPlayed(options, {256, 20000}).find("descriptors and may hold 256") != std::string::npos);
+  options.poolers = 40;
+  CHECK(WhyNotPlayed(options, {1024, 1000}) == "");
+}
+
+TEST_CASE("every script's steps lie within the run, and touch hollow poolers alone") {
+  ScaleOptions options;
+  options.poolers = 72;
+  options.real = 2;
+  for (const std::string& script : ScaleScripts()) {
+    for (const int seconds : {5, 20, 60}) {
+      options.script = script;
+      options.seconds = seconds;
+      const auto steps = StepsOf(options, 4);
+      CAPTURE(script);
+      CHECK(steps.empty() == (script == "quiet" || script == "load"));
+      for (const Step& step : steps) {
+        CHECK(step.at > Duration{0});
+        CHECK(step.at < Duration(seconds * 1'000'000));
+        if (step.what == Step::What::kPrimary) continue;
+        for (const int who : step.who) CHECK(who >= options.real);
+      }
+      CHECK(std::ranges::is_sorted(steps, {}, &Step::at));
+      CHECK(ScriptCompressed(options, 4) > 0);
+    }
+  }
+}
+
+TEST_CASE("whom a zone, a rack and a region take") {
+  ScaleOptions options;
+  options.poolers = 140;
+  options.real = 0;
+  const auto who = [&](const char* script) {
+    options.script = script;
+    return StepsOf(options, 4).front().who.size();
+  };
+  CHECK(who("zone") == 20);
+  CHECK(who("rack") == 10);
+  CHECK(who("regions") == 60);
+  CHECK(PlaceOf(6, 0).zone == 6);
+  CHECK(PlaceOf(6, 0).region == 1);
+  CHECK(PlaceOf(6, 7).region == 0);  // real ones stand in the first
+  options.script = "replaced";
+  std::set<int> replaced;
+  for (const Step& step : StepsOf(options, 4)) replaced.insert(step.who.front());
+  CHECK(replaced.size() == StepsOf(options, 4).size());
+}
+
+TEST_CASE("how much faster than at the target events come") {
+  ScaleOptions options;
+  options.script = "regions";
+  options.seconds = 20;
+  CHECK(ScriptCompressed(options, 4) == doctest::Approx(300 / 9.0));
+  options.script = "configuration";
+  CHECK(ScriptCompressed(options, 4) == doctest::Approx(86400 / 20.0 / 290));
+  options.script = "quiet";
+  CHECK(ChangesPerS(options) == 0);
+  CHECK(ListCompressed(options) == 1);
+  options.changes_per_s = 1;
+  CHECK(ListCompressed(options) == doctest::Approx(86400 / (93 * 730.0 / 1147)));
+}
+
+TEST_CASE("hollow databases: a replica is late, a primary's end loses what was not shipped") {
+  Databases databases({3, 3, 1});
+  CHECK(databases.size() == 7);
+  CHECK(databases.At(4).group == 1);
+  CHECK(databases.At(4).member == 1);
+  const Databases::Where primary{0, 0}, replica{0, 1}, other{0, 2};
+  CHECK(databases.IsPrimary(primary, At(100)));
+  CHECK(!databases.Commit(replica, At(100)));
+  const Held early = *databases.Commit(primary, At(100)), late = *databases.Commit(primary, At(498));
+  CHECK(databases.Has(0, databases.Holds(primary, At(100)), early));
+  CHECK(!databases.Has(0, databases.Holds(replica, At(100)), early));
+  CHECK(databases.Has(0, databases.Holds(replica, At(120)), early));
+  databases.Die(0, 0, At(500));
+  CHECK(!databases.Up(primary, At(500)));
+  CHECK(!databases.Commit(primary, At(500)));
+  CHECK(databases.Commit(primary, At(499)));  // it was told ahead
+  CHECK(databases.Holds(replica, At(900)).position < At(500));
+  databases.Reign(0, 1, At(2000));
+  CHECK(!databases.Commit(replica, At(1999)));
+  const Held next = *databases.Commit(replica, At(2000));
+  CHECK(next.reign == 1);
+  // It has what it had before, though its position is past all.
+  CHECK(databases.Has(0, next, early));
+  CHECK(late.position < next.position);
+  CHECK(!databases.Has(0, next, late));
+  CHECK(!databases.Has(0, databases.Holds(other, At(3000)), late));
+  CHECK(databases.Has(0, databases.Holds(other, At(3000)), next));
+  databases.Return(0, 0, At(4000));
+  CHECK(databases.Up(primary, At(4000)));
+  CHECK(!databases.IsPrimary(primary, At(4000)));
+  CHECK(!databases.Has(0, databases.Holds(primary, At(5000)), late));
+}
+
+TEST_CASE("the files of a hollow pooler are those that a real one reads") {
+  ScaleSpec spec;
+  spec.folder = "/nowhere";
+  spec.poolers = 3;
+  spec.udp = {4001, 4002, 4003};
+  spec.discovery = 4000;
+  spec.seed = 7;
+  const auto config = ReadConfig(ScaleConfigOf(spec, 1, 5000));
+  REQUIRE(std::holds_alternative<Config>(config));
+  CHECK(std::get<Config>(config).settings.peers_total == 3);
+  const auto setup = ReadSetup(ScaleSettingsOf(spec, 1, {0, 1, 2}, 0));
+  REQUIRE(std::holds_alternative<Setup>(setup));
+  CHECK(std::get<Setup>(setup).peers.seeds.size() == 2);
+  CHECK(std::get<Setup>(setup).peers.listen->port == 4002);
+}
+
+// ---- The seam -------------------------------------------------------------------------------------------
+
+// Takes all that is sent and answers when it is told to.
+struct Silent final : proxy::Backends {
+  void Send(RequestId request, AttemptNumber attempt, MemberId member, std::shared_ptr<const proxy::Work>,
+            proxy::SendTimes) override {
+    sent.push_back({request, attempt, member});
+  }
+  void Cancel(RequestId, AttemptNumber) override {}
+  void Drop(RequestId) override {}
+  void Probe(MemberId) override {}
+  void CloseIdle(MemberId) override {}
+  struct Sent {
+    RequestId request;
+    AttemptNumber attempt;
+    MemberId member;
+  };
+  std::vector<Sent> sent;
+};
+
+struct Told final : proxy::Client {
+  void Served(const proxy::Answer&) override { ++served; }
+  void Refused(Duration) override { ++refused; }
+  void Failed() override { ++failed; }
+  void Unusable() override { ++failed; }
+  int served = 0, refused = 0, failed = 0;
+};
+
+struct Work final : proxy::Work {
+  std::string TextFor(Duration) const override { return "SELECT 1"; }
+};
+
+struct Seam {
+  Seam() {
+    ScaleSpec spec;
+    spec.poolers = 1;
+    spec.udp = {1};
+    spec.discovery = 1;  // nobody answers there
+    auto read = ReadConfig(ScaleConfigOf(spec, 0, 1));
+    config = std::move(std::get<Config>(read));
+    config.known =
+        R"({"rev":3,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:9","az":"a","pod_group":1,)"
+        R"("state":"Ready","capacity_hint":1.0}]})";
+    Instance::Host host;
+    host.address = [this](MemberId, const net::Address& address) { ports.push_back(address.port); };
+    host.forget = [](MemberId) {};
+    instance = std::make_unique<Instance>(loop, config, setup, backends, host);
+  }
+  void Ask(Duration time) {
+    proxy::Ask ask;
+    ask.event.group = GroupId(1);
+    ask.event.cls = 2;
+    ask.event.time_left = time;
+    ask.work = std::make_shared<Work>();
+    instance->proxy().Take(std::move(ask), client, id);
+  }
+  void Pass(Duration time) {
+    net::Timer end(loop);
+    end.After(time, [this] { loop.Stop(); });
+    loop.Run();
+  }
+  net::Loop loop;
+  Config config;
+  Setup setup;
+  Silent backends;
+  Told client;
+  RequestId id{};
+  std::vector<int> ports;
+  std::unique_ptr<Instance> instance;
+};
+
+TEST_CASE("an instance serves through the data servers that its host gives it") {
+  Seam seam;
+  REQUIRE(seam.instance->Start() == "");
+  CHECK(seam.instance->listed());
+  CHECK(seam.instance->Counted());
+  CHECK(seam.ports == std::vector<int>{9});
+  seam.Ask(Duration(1'000'000));
+  REQUIRE(seam.backends.sent.size() == 1);
+  proxy::AttemptEnd end;
+  end.request = seam.backends.sent[0].request;
+  end.attempt = seam.backends.sent[0].attempt;
+  end.member = seam.backends.sent[0].member;
+  end.outcome = Outcome::kOk;
+  end.answer.emplace();
+  static_cast<proxy::BackendEvents&>(seam.instance->proxy()).OnAttemptEnd(end);
+  CHECK(seam.client.served == 1);
+}
+
+TEST_CASE("an instance that is taken down leaves no deadline behind") {
+  Seam seam;
+  REQUIRE(seam.instance->Start() == "");
+  seam.Ask(Duration(400000));
+  REQUIRE(seam.backends.sent.size() == 1);
+  const std::size_t deadlines = seam.loop.timers();
+  CHECK(deadlines > 0);
+  seam.instance.reset();
+  seam.Pass(Duration(500000));  // past the end of the request, and of the module's next tick
+  CHECK(seam.client.served + seam.client.refused + seam.client.failed == 0);
+  CHECK(seam.loop.timers() == 0);
+}
+
+}  // namespace
+}  // namespace lynxgrade::lab
