Carry the directory of sessions in the exchange, keeper and proxy, behind [peers] marks = "directory"

Need: every mark to every pooler grows with poolers times writes. Cause, found on the way: an instance that knows nothing of a directory could be an owner in a mixed fleet, and writes waited for it for ever (61 in a rolling update of four): owners are those alone that go by it, which each life tells with itself. Ruled out: telling reigns to all; each pooler judges them from its own probes, a newcomer asks for them once, and a reign that began within recall goes with a handed mark. Change: packets that name of their sender only its life; Exchange follows members only where something changed; answers of writes wait in Proxy until held, at most to the end of their request; off unless chosen, refused with members = "plain".

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -24,7 +24,7 @@
     }
     declared_ = now;
   }
-  const bool whole = standpoint.whole && declares != 0;
+  const bool whole = declares != 0 && standpoint.whole.value_or(whole_);
   if (whole && !whole_) {
     whole_since_ = now;
     if (first_whole_ == Time{}) first_whole_ = now;
@@ -73,28 +73,29 @@
   return true;
 }
 
-void Directory::Want(Time now, GroupId group, session::Key key, Use use, Outbox& out) {
-  if (!Bound(now) || view_ == 0) return;  // nobody owns anything for who stands by nothing
+bool Directory::Want(Time now, GroupId group, session::Key key, Use use, Outbox& out) {
+  if (!Bound(now) || view_ == 0) return false;  // nobody owns anything for who stands by nothing
   const Time until = now + (use == Use::kWrite ? kWantWrite : kWantRead);
   if (const auto wanted = wants_.find(key); wanted != wants_.end()) {
     wanted->second.until = std::max(wanted->second.until, until);
-    return;
+    return true;
   }
   if (const Hold* hold = LiveHold(now, key)) {
     const bool fresh = now - hold->leased < options_.owner.lease * 2 / 3;
     // One that is good for writes alone is worth asking for again once it would be exact.
     const bool enough = use == Use::kWrite || Exact(now, key) || !whole_;
-    if (fresh && enough) return;
+    if (fresh && enough) return false;
   }
   // Where this instance is not proven whole itself no grant helps a read.
-  if (use == Use::kRead && !whole_) return;
+  if (use == Use::kRead && !whole_) return false;
   if (use == Use::kRead && OwnerOf(key, lives_) != options_.self && !Token(now)) {
     ++counts_.capped;
-    return;
+    return false;
   }
   Want_& want = wants_[key];
   want = {++last_id_, group, now, now, kFirstRetry, until};
   Ask(now, key, want, out);
+  return true;
 }
 
 void Directory::Ask(Time now, session::Key key, Want_& want, Outbox& out) {
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -29,9 +29,9 @@
 struct Standpoint {
   std::uint64_t declares = 0;  // the view that it says it stands by; zero: none
   // It has a live word for that view from every instance that may answer writes, and the view has all of
-  // them.
-  bool whole = false;
-  const std::vector<Life>* lives = nullptr;  // of that view, its own included
+  // them. Absent: not looked at.
+  std::optional<bool> whole{};
+  const std::vector<Life>* lives = nullptr;  // of that view those that may own, its own included
 };
 
 class Directory {
@@ -57,7 +57,8 @@
   Directory(const Options& options, Marks& marks, Time started);
 
   // To be called before each word from others is counted, after it, and before each call below, with what
-  // then is so: of a word that lapsed in between nothing would be known.
+  // then is so: of a word that lapsed in between nothing would be known. Whenever something is sent that says
+  // by which view this instance stands it is to be called too; there `whole` may be absent.
   void See(Time now, const Standpoint& standpoint);
 
   // Rule W: whether a write of the session may be answered now.
@@ -66,9 +67,9 @@
   // position that is returned. Absent: they may not be.
   std::optional<Position> Exact(Time now, session::Key key) const;
   // The session is to be held, for a write or for a read; asks its owner unless that has been asked. Where it
-  // is held, renews a lease that comes to its end.
+  // is held, renews a lease that comes to its end. Whether an answer is expected that may make it so.
   enum class Use { kRead, kWrite };
-  void Want(Time now, GroupId group, session::Key key, Use use, Outbox& out);
+  bool Want(Time now, GroupId group, session::Key key, Use use, Outbox& out);
   // Asks again where no answer has come.
   void Tick(Time now, Outbox& out);
   void Take(Time now, Life from, const Message& message, Outbox& out);
@@ -77,6 +78,8 @@
   void StandAside(Time now);
 
   bool Bound(Time now) const;
+  // Whether it has stood by any view in its life.
+  bool Declared() const { return view_ != 0; }
   // Since when it has been whole under `view`, without a break.
   std::optional<Time> WholeSince(std::uint64_t view) const;
   const Counts& counts() const { return counts_; }
--- a/src/peers/envelope.cpp
+++ b/src/peers/envelope.cpp
@@ -136,8 +136,8 @@
   wire::Packet packet;
   if (!packet.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return Fault::kPacket;
   if (packet.version() != 1) return Fault::kVersion;
-  if (packet.sender().name().empty() || packet.sender().life() == 0 || packet.counter() == 0)
-    return Fault::kPacket;
+  if (packet.sender().life() == 0 || packet.counter() == 0) return Fault::kPacket;
+  if (packet.sender().name().empty() && !packet.has_directory()) return Fault::kPacket;
   if (!Fresh(packet)) return Fault::kReplay;
   return packet;
 }
--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 Position At(std::int64_t us) { return Position(Duration(us)); }
+// Ages are told up to a day: what is older is told as that, which is later and so safe.
+constexpr std::uint64_t kOldestMs = 86'400'000;
+
 std::int64_t Us(Position position) { return position.time_since_epoch().count(); }
 
 session::Mark MarkOf(const wire::Mark& mark) {
@@ -24,13 +27,29 @@
 
 }  // namespace
 
+Swim::Options Exchange::SwimOptions(const Options& options) {
+  Swim::Options swim = options.swim;
+  if (options.directory) swim.speaks = kDirected;
+  return swim;
+}
+
 Exchange::Exchange(Options options, wire::Member self, std::vector<std::string> seeds, bool recovered,
                    session::Keeper& keeper, std::uint64_t seed)
     : options_(options),
-      swim_(options.swim, std::move(self), seeds, seed),
+      swim_(SwimOptions(options), std::move(self), seeds, seed),
       keeper_(keeper),
       recovered_(recovered),
       turn_(seed) {
+  if (options_.directory) {
+    directory::Directory::Options& directory = *options_.directory;
+    directory.self = swim_.self().life();
+    directory.proof = swim_.proof();
+    directory.alone = options_.swim.size == 1;
+    const Time started = At(static_cast<std::int64_t>(swim_.self().started_us()));
+    directory::Marks& marks = *this;
+    directory_ = std::make_unique<directory::Directory>(directory, marks, started);
+    reign_asks_ = kReignAsks;
+  }
   // What was recovered is not in sequence: everybody has to take the whole ledger first.
   if (keeper.ledger().size() > 0) base_ = 2;
   // Each seed may be answering writes already.
@@ -43,6 +62,12 @@
 std::uint64_t Exchange::NumberOf(const std::string& name) { return XXH3_64bits(name.data(), name.size()); }
 
 void Exchange::Wrote(GroupId group, session::Key key, const session::Mark& mark) {
+  if (directory_ != nullptr && flushed_to_ == 0) {
+    // Nobody takes marks in sequence: who comes that does gets the whole ledger.
+    base_ += own_.size() + 1;
+    own_.clear();
+    return;
+  }
   own_.push_back({group, key, mark});
   if (own_.size() <= options_.kept) return;
   own_.pop_front();
@@ -57,7 +82,7 @@
 
 bool Exchange::Joined() const {
   return std::ranges::all_of(swim_.peers(), [this](const auto& item) {
-    if (item.second.member.state() != wire::Member::ALIVE) return true;
+    if (item.second.member.state() != wire::Member::ALIVE || Directed(item.second.member)) return true;
     const auto link = links_.find(item.first);
     return link != links_.end() && link->second.counts_us;
   });
@@ -77,6 +102,15 @@
 // Takes over what membership says. Who is dead still counts: it may be cut off and go on answering. Who has
 // left answers no more.
 void Exchange::Follow(Time now) {
+  if (std::exchange(changes_, swim_.changes()) == swim_.changes()) return;
+  if (directed_.size() > kMostDirected) {
+    std::erase_if(directed_, [this](std::uint64_t life) {
+      return !std::ranges::binary_search(swim_.standing().lives(), life);
+    });
+  }
+  for (const auto& [name, peer] : swim_.peers()) {
+    if (Directed(peer.member)) directed_.insert(peer.member.life());
+  }
   for (const auto& [name, peer] : swim_.peers()) {
     if (peer.member.state() == wire::Member::LEFT) {
       const auto link = links_.find(name);
@@ -111,6 +145,10 @@
     if (say_) say_("peer " + item.first + " was dead for so long that it counts no more");
     return true;
   });
+  flushed_to_ = static_cast<std::size_t>(std::ranges::count_if(links_, [this](const auto& item) {
+    const auto peer = swim_.peers().find(item.first);
+    return peer != swim_.peers().end() && !Directed(peer->second.member);
+  }));
   std::erase_if(placeholders_, [&](const auto& item) {
     const auto& unheard = swim_.unheard_seeds();
     if (std::ranges::find(unheard, item.first) != unheard.end()) return false;
@@ -128,6 +166,14 @@
 void Exchange::Tick(Time now, std::vector<Out>& out) {
   swim_.Tick(now, out);
   Follow(now);
+  if (directory_ != nullptr) {
+    Stand(now, false);
+    directory::Outbox box;
+    directory_->Tick(now, box);
+    Post(now, box, out);
+    AskReigns(now, out);
+  }
+  if (flushed_to_ == 0) return;
   const Duration interval = Interval();
   // Rumours go out with the first packets of a flush. From a start that turns they reach all, not the same
   // few: with 64 instances one heard of a death 11 s after the others.
@@ -137,7 +183,7 @@
     if (next == links_.end()) next = links_.begin();
     auto& [name, link] = *next;
     const auto peer = swim_.peers().find(name);
-    if (peer == swim_.peers().end()) continue;
+    if (peer == swim_.peers().end() || Directed(peer->second.member)) continue;
     // One that is held dead is spoken to now and then: it may have been cut off, and is to know what it
     // missed.
     const bool dead = peer->second.member.state() == wire::Member::DEAD;
@@ -154,7 +200,8 @@
   solicited_ = now;
   for (auto& [name, link] : links_) {
     const auto peer = swim_.peers().find(name);
-    if (peer != swim_.peers().end() && peer->second.member.state() <= wire::Member::SUSPECT) {
+    if (peer == swim_.peers().end() || Directed(peer->second.member)) continue;
+    if (peer->second.member.state() <= wire::Member::SUSPECT) {
       Flush(now, name, link, true, out);
     }
   }
@@ -215,18 +262,20 @@
     const auto told = link.reigns.find(group);
     if (told != link.reigns.end() && told->second == reigns.since()) continue;
     link.reigns[group] = reigns.since();
-    wire::Reign& reign = *packet.add_reigns();
-    reign.set_group(static_cast<std::int64_t>(group));
-    reign.set_primary(static_cast<std::uint32_t>(*reigns.primary()));
-    reign.set_since_us(Us(reigns.since()));
-    reign.set_held_us(Us(reigns.held()));
-    reign.set_confirmed_us(Us(reigns.confirmed()));
+    FillReign(*packet.add_reigns(), group, reigns);
   }
 }
 
 void Exchange::Take(Time now, const std::string& from, const wire::Packet& packet, std::vector<Out>& out) {
+  if (packet.has_directory()) TakeDirectory(now, from, packet, out);
+  if (packet.sender().name().empty()) return;
+  // Words come with answers alone. What lapsed before this one is to be seen, or the chain would seem
+  // unbroken.
+  const bool word = packet.has_ack() || packet.has_nack();
+  if (directory_ != nullptr && word) Stand(now, true);
   swim_.Take(now, from, packet, out);
   Follow(now);
+  if (directory_ != nullptr) Stand(now, word);
   const std::string& name = packet.sender().name();
   const auto it = links_.find(name);
   if (it == links_.end()) return;
@@ -236,6 +285,7 @@
     const auto peer = swim_.peers().find(name);
     if (peer == swim_.peers().end() || peer->second.member.life() != packet.sender().life()) {
       keeper_.AddGap(~NumberOf(name), link.began, now);
+      doubted_until_ = now + swim_.proof() * 2;
       link.began = now;
       return;
     }
@@ -354,4 +404,187 @@
   Send(from, std::move(ack), out);
 }
 
+// ---- The directory of sessions ------------------------------------------------------------------------
+
+// All of the fleet, by its settings, stands together and goes by the directory, and nobody else is known who
+// may answer writes.
+bool Exchange::Whole(Time now) {
+  const members::Standing& standing = swim_.standing();
+  if (!options_.swim.proven || now < doubted_until_ || !swim_.unheard_seeds().empty()) return false;
+  if (standing.count() != options_.swim.size) return false;
+  if (swim_.StandingAt(now).part != members::Part::kWhole) return false;
+  return std::ranges::all_of(swim_.peers(), [this](const auto& item) {
+    const wire::Member& member = item.second.member;
+    return member.state() == wire::Member::LEFT ||
+           (member.state() <= wire::Member::SUSPECT && Directed(member));
+  });
+}
+
+void Exchange::Stand(Time now, bool whole) {
+  const members::Standing& standing = swim_.standing();
+  if (std::exchange(asides_, swim_.asides()) != swim_.asides()) directory_->StandAside(now);
+  const std::uint64_t declares = standing.Declares(now);
+  if (declares != 0 && declares != owners_of_) {
+    // Who knows nothing of a directory owns nothing. What a life understands is told with it, so all of one
+    // view find the same ones.
+    owners_of_ = declares;
+    owners_.clear();
+    for (const std::uint64_t life : standing.lives()) {
+      if (life == swim_.self().life() || directed_.contains(life)) owners_.push_back(life);
+    }
+  }
+  directory_->See(now, {declares, whole ? std::optional(Whole(now)) : std::nullopt, &owners_});
+}
+
+std::optional<Position> Exchange::Exact(Time now, session::Key key) {
+  if (directory_ == nullptr) return std::nullopt;
+  Stand(now, true);
+  return directory_->Exact(now, key);
+}
+
+bool Exchange::MayAnswer(Time now, session::Key key) {
+  if (directory_ == nullptr) return true;
+  Stand(now, false);
+  return directory_->MayAnswer(now, key);
+}
+
+bool Exchange::MayServe(Time now) {
+  if (directory_ == nullptr) return true;
+  Stand(now, false);
+  return directory_->Declared() || !directory_->Bound(now);
+}
+
+bool Exchange::Want(Time now, GroupId group, session::Key key, directory::Directory::Use use,
+                    std::vector<Out>& out) {
+  if (directory_ == nullptr) return false;
+  Stand(now, true);
+  directory::Outbox box;
+  const bool expected = directory_->Want(now, group, key, use, box);
+  Post(now, box, out);
+  return expected;
+}
+
+void Exchange::TakeDirectory(Time now, const std::string& from, const wire::Packet& packet,
+                             std::vector<Out>& out) {
+  const wire::Directory& said = packet.directory();
+  if (directory_ == nullptr || said.to_life() != swim_.self().life()) return;
+  Stand(now, true);
+  for (const wire::Reign& reign : packet.reigns()) {
+    keeper_.LearnReign(GroupId(reign.group()), MemberId(reign.primary()), At(reign.since_us()),
+                       At(reign.held_us()), At(reign.confirmed_us()));
+  }
+  directory::Outbox box;
+  for (const wire::Directory::Entry& entry : said.entries()) {
+    if (entry.kind() < wire::Directory::ASK || entry.kind() > wire::Directory::RELEASE) continue;
+    directory::Message message;
+    message.kind = static_cast<directory::Message::Kind>(entry.kind());
+    message.view = said.view();
+    message.key = session::Key(entry.key());
+    message.group = GroupId(entry.group());
+    message.id = entry.id();
+    message.serial = entry.serial();
+    if (entry.has_floor_age_ms()) {
+      const std::uint64_t ms = std::min(std::uint64_t{entry.floor_age_ms()}, kOldestMs);
+      message.floor_age = Duration(static_cast<std::int64_t>(ms) * 1000);
+    }
+    if (entry.mark_us() != 0) {
+      message.mark = session::Mark{At(entry.mark_us()), std::nullopt};
+      if (entry.mark_by() != 0) message.mark->by = MemberId(entry.mark_by());
+    }
+    if (entry.forgotten_us() != 0) message.forgotten = At(entry.forgotten_us());
+    directory_->Take(now, packet.sender().life(), message, box);
+  }
+  Post(now, box, out);
+  if (said.reigns_wanted()) SendReigns(from, packet.sender().life(), out);
+}
+
+Out Exchange::Bare(const std::string& address, std::uint64_t life) const {
+  Out out{address, {}};
+  out.packet.set_version(1);
+  out.packet.mutable_sender()->set_life(swim_.self().life());
+  out.packet.mutable_directory()->set_to_life(life);
+  return out;
+}
+
+void Exchange::Post(Time now, const directory::Outbox& box, std::vector<Out>& out) {
+  std::map<std::pair<std::uint64_t, std::uint64_t>, std::vector<const directory::Message*>> posts;
+  for (const directory::Outgoing& one : box) posts[{one.to, one.message.view}].push_back(&one.message);
+  for (const auto& [receiver, messages] : posts) {
+    const auto peer = std::ranges::find_if(
+        swim_.peers(), [&](const auto& item) { return item.second.member.life() == receiver.first; });
+    if (peer == swim_.peers().end()) continue;  // it is asked for again, or its lease runs out
+    for (std::size_t next = 0; next < messages.size();) {
+      Out bare = Bare(peer->second.member.address(), receiver.first);
+      wire::Directory& said = *bare.packet.mutable_directory();
+      said.set_view(receiver.second);
+      for (; next < messages.size() && said.entries_size() < kEntriesAPacket; ++next) {
+        const directory::Message& message = *messages[next];
+        wire::Directory::Entry& entry = *said.add_entries();
+        entry.set_kind(static_cast<wire::Directory::Kind>(message.kind));
+        entry.set_key(static_cast<std::uint64_t>(message.key));
+        entry.set_group(static_cast<std::int64_t>(message.group));
+        entry.set_id(message.id);
+        entry.set_serial(message.serial);
+        if (message.floor_age) {
+          const auto ms = static_cast<std::uint64_t>(message.floor_age->count()) / 1000;
+          entry.set_floor_age_ms(std::min(ms, kOldestMs));
+        }
+        if (message.mark) {
+          entry.set_mark_us(Us(message.mark->position));
+          entry.set_mark_by(message.mark->by ? static_cast<std::uint32_t>(*message.mark->by) : 0);
+          AddReign(now, message.group, bare.packet);
+        }
+        if (message.forgotten) entry.set_forgotten_us(Us(*message.forgotten));
+      }
+      ++counts_.packets_out;
+      ++counts_.directory_out;
+      out.push_back(std::move(bare));
+    }
+  }
+}
+
+void Exchange::FillReign(wire::Reign& to, GroupId group, const session::Reigns& reigns) {
+  to.set_group(static_cast<std::int64_t>(group));
+  to.set_primary(static_cast<std::uint32_t>(*reigns.primary()));
+  to.set_since_us(Us(reigns.since()));
+  to.set_held_us(Us(reigns.held()));
+  to.set_confirmed_us(Us(reigns.confirmed()));
+}
+
+// The group's reign goes with a mark, where it is so new that it may still matter.
+void Exchange::AddReign(Time now, GroupId group, wire::Packet& packet) const {
+  const auto it = keeper_.reigns().find(group);
+  if (it == keeper_.reigns().end() || !it->second.primary()) return;
+  if (it->second.since() + keeper_.recall() < now) return;
+  FillReign(*packet.add_reigns(), group, it->second);
+}
+
+// Who starts from nothing cannot tell when the present reigns began, and would refuse reads for as long as a
+// write is guarded. It is told once, by some that have seen them.
+void Exchange::AskReigns(Time now, std::vector<Out>& out) {
+  if (reign_asks_ == 0 || now < next_reign_ask_) return;
+  std::vector<const wire::Member*> others;
+  for (const auto& [name, peer] : swim_.peers()) {
+    if (peer.member.state() == wire::Member::ALIVE && Directed(peer.member)) others.push_back(&peer.member);
+  }
+  if (others.empty()) return;
+  next_reign_ask_ = now + kReignAskEvery;
+  --reign_asks_;
+  const wire::Member& one = *others[turn_++ % others.size()];
+  Out bare = Bare(one.address(), one.life());
+  bare.packet.mutable_directory()->set_reigns_wanted(true);
+  out.push_back(std::move(bare));
+}
+
+void Exchange::SendReigns(const std::string& address, std::uint64_t life, std::vector<Out>& out) const {
+  Out bare = Bare(address, life);
+  for (const auto& [group, reigns] : keeper_.reigns()) {
+    if (!reigns.primary()) continue;
+    FillReign(*bare.packet.add_reigns(), group, reigns);
+    if (bare.packet.reigns_size() < kReignsAtOnce) continue;
+    out.push_back(std::exchange(bare, Bare(address, life)));
+  }
+  if (bare.packet.reigns_size() > 0) out.push_back(std::move(bare));
+}
+
 }  // namespace lynxgrade::peers
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -10,18 +10,25 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "directory/directory.h"
 #include "peers/swim.h"
 #include "session/keeper.h"
 
 namespace lynxgrade::peers {
 
-class Exchange {
+class Exchange : private directory::Marks {
  public:
   struct Options {
     Swim::Options swim;
+    // Sessions are held by one instance at a time (docs/design/session-directory.md), and marks go only to
+    // those that do not know of it. Its `self`, `proof` and `alone` are filled in here.
+    std::optional<directory::Directory::Options> directory{};
     Duration flush{20000};  // to each peer, where nobody asks sooner
     // To a peer for whom there is nothing new and who waits for nothing. Twice that is under the time for
     // which a held read still expects word (eight times session::Options::hold), or none would be asked for.
@@ -30,7 +37,7 @@
     double packets_per_s = 2000;  // with many peers flushes are spread out to stay under this
   };
   struct Counts {
-    std::uint64_t marks_in = 0, marks_out = 0, packets_out = 0, syncs = 0;
+    std::uint64_t marks_in = 0, marks_out = 0, packets_out = 0, syncs = 0, directory_out = 0;
   };
 
   // `recovered`: the keeper knows all that earlier lives of this instance answered.
@@ -45,6 +52,15 @@
   void Solicit(Time now, std::vector<Out>& out);
   void Leave(Time now, std::vector<Out>& out) { swim_.Leave(now, out); }
 
+  // With a directory: rules R and W, and what has to be asked for them (see directory::Directory). Without
+  // one a write may be answered at any time and nothing is exact.
+  std::optional<Position> Exact(Time now, session::Key key);
+  bool MayAnswer(Time now, session::Key key);
+  bool Want(Time now, GroupId group, session::Key key, directory::Directory::Use use, std::vector<Out>& out);
+  // Whether what a former life of this instance may have promised is over.
+  bool MayServe(Time now);
+  const directory::Directory* directory() const { return directory_.get(); }
+
   // Whether all instances that are known to live count this one among those that answer writes.
   bool Joined() const;
   const Swim& swim() const { return swim_; }
@@ -88,7 +104,29 @@
     Time reigns_told{};
   };
 
+  session::Ledger::Known Newest(session::Key key) const override { return keeper_.ledger().Find(key); }
+  void Learn(GroupId group, session::Key key, const session::Mark& mark) override {
+    keeper_.Learn(group, key, mark);
+  }
+  // Tells the directory where this instance stands; `whole`: also whether with all of the fleet.
+  void Stand(Time now, bool whole);
+  bool Whole(Time now);
+  // Whether it goes by the directory, as this instance does.
+  bool Directed(const wire::Member& member) const {
+    return directory_ != nullptr && member.speaks() >= kDirected;
+  }
+  void TakeDirectory(Time now, const std::string& from, const wire::Packet& packet, std::vector<Out>& out);
+  // Puts messages into packets, one for each receiver and view.
+  void Post(Time now, const directory::Outbox& box, std::vector<Out>& out);
+  // A packet for one life, which names of this instance its life alone.
+  Out Bare(const std::string& address, std::uint64_t life) const;
+  static void FillReign(wire::Reign& to, GroupId group, const session::Reigns& reigns);
+  void AddReign(Time now, GroupId group, wire::Packet& packet) const;
+  void AskReigns(Time now, std::vector<Out>& out);
+  void SendReigns(const std::string& address, std::uint64_t life, std::vector<Out>& out) const;
+  static Swim::Options SwimOptions(const Options& options);
   static std::uint64_t NumberOf(const std::string& name);
+  // Takes over what membership says, where that has changed.
   void Follow(Time now);
   void NewLife(Time now, const std::string& name, Link& link, const wire::Packet& packet);
   void Flush(Time now, const std::string& name, Link& link, bool solicit, std::vector<Out>& out);
@@ -102,8 +140,27 @@
   // Whether there is news for it, or it waits for something.
   bool Awaited(const Link& link) const;
 
+  static constexpr std::uint32_t kDirected = 2;  // Member.speaks
+  static constexpr std::size_t kMostDirected = 8192;
+  static constexpr int kEntriesAPacket = 30;  // some 1,000 bytes: one datagram on any path
+  // A new life asks some others, one after the other, for the reigns that they know.
+  static constexpr int kReignAsks = 3;
+  static constexpr Duration kReignAskEvery{300000};
+  static constexpr int kReignsAtOnce = 25;
+
   Options options_;
   Swim swim_;
+  std::unique_ptr<directory::Directory> directory_;
+  std::uint64_t asides_ = 0;    // as last seen
+  std::uint64_t changes_ = 0;   // of members, as last followed
+  std::size_t flushed_to_ = 0;  // links to those that take marks
+  // Lives that go by the directory, also those that were replaced: a view may still name them.
+  std::set<std::uint64_t> directed_;
+  std::vector<directory::Life> owners_;  // those of the view `owners_of_`
+  std::uint64_t owners_of_ = 0;
+  Time doubted_until_{};  // an older life of somebody's name was heard beside the one that counts
+  int reign_asks_ = 0;
+  Time next_reign_ask_{};
   session::Keeper& keeper_;
   bool recovered_;
   std::uint64_t turn_;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -11,6 +11,9 @@
 namespace lynxgrade::peers {
 namespace {
 
+// Sessions that an instance keeps in its directory and holds at least, whatever the ledger's capacity: 13 MB.
+constexpr std::size_t kLeastEntries = 65536;
+
 std::string TextOf(const net::Address& address) {
   const bool six = address.host.find(':') != std::string::npos;
   return (six ? "[" + address.host + "]" : address.host) + ":" + std::to_string(address.port);
@@ -37,6 +40,7 @@
       complaints_(loop_) {}
 
 Peers::~Peers() {
+  if (exchange_ != nullptr && exchange_->directory() != nullptr) keeper_.SetHolding(nullptr);
   if (socket_ != nullptr) loop_.poller().Remove(g_socket_get_fd(socket_.get()));
 }
 
@@ -70,6 +74,14 @@
   options.flush = setup_.flush;
   options.swim.period = setup_.probe;
   options.swim.size = 1 + setup_.seeds.size();  // the settings name all others
+  if (setup_.marks != Marks::kEach) {
+    directory::Directory::Options& directory = options.directory.emplace();
+    directory.owner.recall = keeper_.recall();
+    directory.owner.entries = directory.holds = std::max(kLeastEntries, keeper_.ledger().buckets() * 4);
+    directory.reads_per_s = setup_.asks_per_s;
+    directory.writes_wait = setup_.marks == Marks::kDirectory;
+    if (!directory.writes_wait) spdlog::warn("peers: writes do not wait to be held: reads may miss them");
+  }
   if (setup_.plain_members) {
     options.swim.most_doubt = 0;
     options.swim.unconfirmed = 1;
@@ -81,6 +93,7 @@
   exchange_ =
       std::make_unique<Exchange>(options, std::move(self), std::move(seeds), recovered_, keeper_, life);
   exchange_->OnLog([](const std::string& text) { spdlog::info("peers: {}", text); });
+  if (exchange_->directory() != nullptr) keeper_.SetHolding(this);
   loop_.poller().Add(g_socket_get_fd(socket_.get()), EPOLLIN, *this);
   started_ = loop_.Now();
   spdlog::info("peers: instance {} at {}", name_, TextOf(bound.get()));
@@ -99,6 +112,8 @@
 }
 
 bool Peers::Ready() const {
+  // What a former life may have promised is over soon, whoever is there.
+  if (!exchange_->MayServe(loop_.Precise())) return false;
   if (exchange_->Joined() && exchange_->swim().unheard_seeds().empty()) return true;
   return loop_.Now() - started_ >= setup_.join_within;
 }
@@ -108,7 +123,7 @@
   Flush();
   TellPart();
   TellConflict();
-  if (learnt_) learnt_();
+  Learnt();
   tick_.After(kTick, [this] { Tick(); });
 }
 
@@ -173,7 +188,45 @@
   return json.dump();
 }
 
+std::optional<Position> Peers::Exact(session::Key key) { return exchange_->Exact(loop_.Precise(), key); }
+
+bool Peers::Want(GroupId group, session::Key key, bool write) {
+  using Use = directory::Directory::Use;
+  const bool expected = exchange_->Want(loop_.Precise(), group, key, write ? Use::kWrite : Use::kRead, out_);
+  Flush();
+  return expected;
+}
+
+bool Peers::WhenHeld(GroupId group, session::Key key, std::function<void()> call) {
+  if (exchange_->MayAnswer(loop_.Precise(), key)) return false;
+  Want(group, key, true);
+  // Its owner may be this instance itself.
+  if (exchange_->MayAnswer(loop_.Precise(), key)) return false;
+  unheld_.push_back({group, key, std::move(call), loop_.Precise() + kMostWait});
+  return true;
+}
+
+void Peers::AnswerHeld() {
+  if (unheld_.empty()) return;
+  const Time now = loop_.Precise();
+  for (Unheld& one : std::exchange(unheld_, {})) {
+    if (now >= one.until) continue;
+    if (exchange_->MayAnswer(loop_.Precise(), one.key)) {
+      one.call();
+      continue;
+    }
+    Want(one.group, one.key, true);
+    unheld_.push_back(std::move(one));
+  }
+}
+
+void Peers::Learnt() {
+  AnswerHeld();
+  if (learnt_) learnt_();
+}
+
 void Peers::Solicit() {
+  if (exchange_->directory() != nullptr) return;  // what there is to ask has been asked
   exchange_->Solicit(loop_.Precise(), out_);
   Flush();
 }
@@ -208,7 +261,7 @@
     Take({buffer.data(), static_cast<std::size_t>(size)}, TextOf(sender.get()));
   }
   Flush();
-  if (learnt_) learnt_();
+  Learnt();
 }
 
 void Peers::Take(std::string_view datagram, const std::string& from) {
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -3,8 +3,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "net/connection.h"
 #include "net/log_limit.h"
@@ -16,7 +19,7 @@
 
 namespace lynxgrade::peers {
 
-class Peers final : public Service, private net::Poller::Handler {
+class Peers final : public Service, private net::Poller::Handler, private session::Holding {
  public:
   explicit Peers(Parts parts);
   ~Peers() override;
@@ -28,6 +31,7 @@
   void Wrote(GroupId group, session::Key key, const session::Mark& mark) override {
     exchange_->Wrote(group, key, mark);
   }
+  bool WhenHeld(GroupId group, session::Key key, std::function<void()> call) override;
   void Solicit() override;
   bool Ready() const override;
   std::string Describe() const override;
@@ -39,6 +43,22 @@
   static constexpr int kDatagramsAtOnce = 64;  // a flood must not keep clients waiting
   static constexpr std::size_t kMostDatagram = 65536;
   static constexpr Duration kTick{5000};
+  // Requests whose answers wait for longer are long over.
+  static constexpr Duration kMostWait{60000000};
+  // Answered writes of sessions that are not held yet.
+  struct Unheld {
+    GroupId group{};
+    session::Key key{};
+    std::function<void()> call;
+    Time until{};
+  };
+
+  std::optional<Position> Exact(session::Key key) override;
+  bool Want(GroupId group, session::Key key, bool write) override;
+  // Lets go the answers that may be given now, and goes on asking for the others.
+  void AnswerHeld();
+  // What came may let reads and answers go on.
+  void Learnt();
 
   void OnEvents(std::uint32_t events) override;
   void Take(std::string_view datagram, const std::string& from);
@@ -59,6 +79,7 @@
   std::unique_ptr<Envelope> envelope_;
   std::unique_ptr<Exchange> exchange_;
   std::vector<Out> out_;
+  std::vector<Unheld> unheld_;
   net::Timer tick_;
   net::LogLimit complaints_;
   members::Part part_ = members::Part::kInDoubt;
--- a/src/peers/service.h
+++ b/src/peers/service.h
@@ -21,6 +21,9 @@
   // Reads the keys again; a file that cannot be used is logged, and the old ones stay.
   virtual void ReloadKeys() = 0;
   virtual void Wrote(GroupId group, session::Key key, const session::Mark& mark) = 0;
+  // Calls back when a write of the session may be answered, at some time or never; false: at once. Always so
+  // unless sessions are held by one instance at a time.
+  virtual bool WhenHeld(GroupId group, session::Key key, std::function<void()> call) = 0;
   // A read waits for word from the others.
   virtual void Solicit() = 0;
   // Whether the others count this instance, so that it may answer writes; also when they had time enough to.
--- a/src/peers/swim.cpp
+++ b/src/peers/swim.cpp
@@ -31,7 +31,7 @@
       random_(seed),
       standing_({self_.life(), options.size, proof(), options.proven}, Time{}) {
   std::erase(unheard_, self_.address());
-  self_.set_speaks(kSpeaks);
+  self_.set_speaks(std::max(kSpeaks, options_.speaks));
 }
 
 Duration Swim::proof() const {
@@ -109,6 +109,7 @@
     if (item.second.member.state() < wire::Member::DEAD) return false;
     if (now - item.second.changed < options_.forget) return false;
     differences_.erase(item.first);
+    ++changes_;
     return true;
   });
   BeginProbe(now, out);
@@ -267,6 +268,7 @@
 void Swim::Set(Time now, Peer& peer, wire::Member::State state) {
   peer.member.set_state(state);
   moved_ = true;
+  ++changes_;
   if (state != wire::Member::SUSPECT) peer.accusers.clear();
   peer.changed = now;
   Tell(peer.member.name());
@@ -285,7 +287,7 @@
     }
     return;
   }
-  std::erase(unheard_, member.address());
+  if (std::erase(unheard_, member.address()) > 0) ++changes_;
   auto [it, fresh] = peers_.try_emplace(member.name());
   Peer& peer = it->second;
   const bool later_life = fresh || member.started_us() > peer.member.started_us();
@@ -311,6 +313,7 @@
     return;
   }
   moved_ = true;
+  ++changes_;
   const bool moved = fresh || peer.member.state() != member.state() || later_life;
   peer.member = member;
   peer.accusers.clear();
@@ -355,6 +358,7 @@
     self_.set_started_us(member.started_us() + 1);
   } else {
     ++conflicts_;
+    ++asides_;
     standing_.StoodStill(now);
   }
 }
--- a/src/peers/swim.h
+++ b/src/peers/swim.h
@@ -31,11 +31,12 @@
 class Swim {
  public:
   struct Options {
-    Duration period{200000};  // one probe each
-    int indirect = 3;         // members asked to ping one that does not answer
-    double suspicion = 3;     // periods times log10 of the number of members, at least this many
-    double unconfirmed = 6;   // times that, until others have confirmed it; 1: Lifeguard's part is off
-    int confirmations = 3;    // others that say so too, after which nothing is added
+    Duration period{200000};   // one probe each
+    std::uint32_t speaks = 1;  // what this life says that it understands: peers.proto
+    int indirect = 3;          // members asked to ping one that does not answer
+    double suspicion = 3;      // periods times log10 of the number of members, at least this many
+    double unconfirmed = 6;    // times that, until others have confirmed it; 1: Lifeguard's part is off
+    int confirmations = 3;     // others that say so too, after which nothing is added
     // Periods: whoever was heard that lately is asked before it is held dead. So few of a large fleet that
     // asking them is no storm; 0: off.
     int ask_lately = 15;
@@ -73,6 +74,10 @@
   const std::vector<std::string>& unheard_seeds() const { return unheard_; }
   // How often two lives of one name were heard of that both run: two instances share it.
   std::uint64_t conflicts() const { return conflicts_; }
+  // Rises whenever what `peers` or `unheard_seeds` tell changes but for when a peer was heard.
+  std::uint64_t changes() const { return changes_; }
+  // How often this instance heard that a later-started one of its name runs.
+  std::uint64_t asides() const { return asides_; }
   // How far this instance doubts itself: 0, or by how many times its periods and waits are longer.
   int doubt() const { return doubt_; }
   // How often it found that it had stood still, and what it then took back or put off.
@@ -150,6 +155,8 @@
   std::size_t next_seed_ = 0;
   Time next_dead_{};
   std::uint64_t conflicts_ = 0;
+  std::uint64_t asides_ = 0;
+  std::uint64_t changes_ = 1;
   int doubt_ = 0;
   Time now_{};
   Time ticked_{};
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -132,8 +132,17 @@
     if (peers_ != nullptr) peers_->Wrote(group, key, mark);
     if (store_ != nullptr) store_->Wrote(key, mark);
   };
+  // The store first: whether a session is held is to be so when the answer goes out.
+  if (store_ != nullptr || peers_ != nullptr) {
+    waits.safe = [this](GroupId group, session::Key key, std::function<void()> call) {
+      if (peers_ == nullptr) return store_->WhenSafe(std::move(call));
+      const bool waits_for_disk = store_ != nullptr && store_->WhenSafe([this, group, key, call] {
+        if (!peers_->WhenHeld(group, key, call)) call();
+      });
+      return waits_for_disk || peers_->WhenHeld(group, key, std::move(call));
+    };
+  }
   if (store_ != nullptr) {
-    waits.safe = [this](std::function<void()> call) { return store_->WhenSafe(std::move(call)); };
     keeper.OnReign([this] { store_->ReignsChanged(); });
   }
   if (peers_ != nullptr) waits.ask_others = [this] { peers_->Solicit(); };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -22,10 +22,11 @@
       keeper_(settings, sessions),
       turned_away_(settings.clients_wait_as_told ? std::min(kTurnedAway, settings.longest_client_wait)
                                                  : Duration{0}),
+      margin_(settings.tick * 2),
       held_until_(loop),
       balancer_(std::move(settings), seed) {
   keeper_.OnWrite([this](GroupId group, session::Key key, const session::Mark& mark) {
-    wrote_ = true;
+    wrote_.emplace(group, key);
     if (waits_.wrote) waits_.wrote(group, key, mark);
   });
   keeper_.OnLog([](const std::string& text) { spdlog::warn("sessions: {}", text); });
@@ -38,6 +39,7 @@
   ++counts_.taken;
   ++open_;
   requests_[id] = {&client, std::move(ask.work)};
+  requests_[id].until = loop_.Now() + ask.event.time_left - margin_;
   ask.event.id = id;
   if (waits_.ask_others && keeper_.WorthHolding(ask.event, loop_.Now())) {
     ask.event.arrived = loop_.Now();
@@ -59,12 +61,13 @@
 
 // Those that now know of all writes answered before they came, and those that have waited long enough.
 void Proxy::ReleaseReads() {
-  const auto covered = keeper_.CoveredUpTo();
-  while (!held_.empty()) {
-    const Waiting& first = held_.front();
-    if (covered && *covered < *first.event.arrived && loop_.Now() < first.until) break;
-    Waiting next = std::move(held_.front());
-    held_.pop_front();
+  std::deque<Waiting> all;
+  all.swap(held_);
+  for (Waiting& next : all) {
+    if (loop_.Now() < next.until && requests_.contains(next.id) && !keeper_.WordCame(next.event)) {
+      held_.push_back(std::move(next));
+      continue;
+    }
     if (!requests_.contains(next.id) || Over(next.id)) continue;
     next.event.time_left -= loop_.Now() - *next.event.arrived;
     Begin(next.id, std::move(next.event));
@@ -82,6 +85,14 @@
   ready.mapped().client->Served(ready.mapped().answer);
 }
 
+void Proxy::FailReady(RequestId id) {
+  auto ready = ready_.extract(id);
+  if (ready.empty()) return;
+  ++counts_.failed;
+  --open_;
+  ready.mapped().client->Failed();
+}
+
 void Proxy::Withdraw(RequestId request) {
   if (ready_.erase(request) > 0) {
     --open_;
@@ -166,15 +177,17 @@
                              end.taken,   false,       std::move(end.note), std::move(end.report)};
   auto& outcome = std::get<OutcomeEvent>(event);
   // What the answer tells of its member comes before the answer: it may show that it cannot be trusted.
-  wrote_ = false;
+  wrote_.reset();
   Look(event);
   // The first success goes to the client by itself and ends the request.
   if (outcome.outcome == Outcome::kOk) {
     if (Client* client = Close(end.request)) {
       const RequestId id = end.request;
-      if (wrote_ && waits_.safe && waits_.safe([this, id] { Release(id); })) {
+      const Time until = requests_.at(id).until;
+      if (wrote_ && waits_.safe && waits_.safe(wrote_->first, wrote_->second, [this, id] { Release(id); })) {
         ++open_;  // until it is given
         ready_[id] = {client, std::move(*end.answer)};
+        loop_.At(std::max(until, loop_.Now()), [this, id] { FailReady(id); });
       } else {
         ++counts_.served;
         client->Served(*end.answer);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <unordered_map>
+#include <utility>
 
 #include "balance.h"
 #include "net/loop.h"
@@ -37,8 +39,9 @@
   struct Waits {
     // A write is about to be answered.
     session::Keeper::Wrote wrote;
-    // Calls back when the writes told so far may be answered; false: at once.
-    std::function<bool(std::function<void()>)> safe;
+    // Calls back when the write told last, of this session, may be answered; false: at once. One that may not
+    // be by the end of its request fails then.
+    std::function<bool(GroupId, session::Key, std::function<void()>)> safe;
     // A read would do better with word from the other instances.
     std::function<void()> ask_others;
   };
@@ -56,6 +59,7 @@
     std::shared_ptr<const Work> work;
     AttemptNumber attempts = 0;
     bool fed = false;  // to the module
+    Time until{};      // when its time is over
   };
 
   void OnAttemptEnd(AttemptEnd end) override;
@@ -68,6 +72,8 @@
   void Begin(RequestId id, Event event);
   void ReleaseReads();
   void Release(RequestId id);
+  // Its time is over, and it may still not be told that it has run.
+  void FailReady(RequestId id);
   // Who is still to be answered, for the last time; null if nobody is.
   Client* Close(RequestId request);
   bool Over(RequestId request) const;
@@ -89,7 +95,9 @@
   session::Keeper keeper_;
   Duration turned_away_;
   Waits waits_;
-  bool wrote_ = false;
+  Duration margin_;  // of a request's time, for the answer to go out
+  // The session that a write was just heard of.
+  std::optional<std::pair<GroupId, session::Key>> wrote_;
   // Writes that have an answer, which waits until it is safe to give.
   struct Ready {
     Client* client = nullptr;
--- a/src/session/keeper.cpp
+++ b/src/session/keeper.cpp
@@ -95,6 +95,7 @@
   open.write = kind == ReadKind::kWrite;
   if (open.write) {
     open_[event.id] = open;
+    if (holding_ != nullptr && !carried_) holding_->Want(open.group, open.key, true);
     return;
   }
   ++counts_.reads;
@@ -115,7 +116,9 @@
   if (open.mark) event.target = std::max(event.target.value_or(open.mark->position), open.mark->position);
   if (floor) event.target = std::max(event.target.value_or(*floor), *floor);
   if (!Everywhere()) return;
-  for (const Gap& gap : Gaps(open.arrived, open.mark)) floor = std::max(floor.value_or(gap.to), gap.to);
+  if (holding_ != nullptr && !carried_) open.exact = holding_->Exact(open.key);
+  counts_.exact += open.exact.has_value();
+  for (const Gap& gap : GapsOf(open)) floor = std::max(floor.value_or(gap.to), gap.to);
   if (floor) {
     ++counts_.floored;
     event.target = std::max(event.target.value_or(*floor), *floor);
@@ -142,7 +145,7 @@
   const Reigns& reigns = it->second;
   if (read.mark && reigns.InDoubt(*read.mark)) return Reason::kLost;
   const Position oldest = now - options_.recall;
-  for (const Gap& gap : Gaps(read.arrived, read.mark)) {
+  for (const Gap& gap : GapsOf(read)) {
     if (reigns.InDoubt(std::max(gap.from, oldest), gap.to)) return Reason::kUnknown;
   }
   // What was forgotten may have been answered at any time up to the floor.
@@ -268,9 +271,30 @@
   return gaps;
 }
 
-bool Keeper::WorthHolding(const RequestEvent& event, Time arrived) const {
+std::vector<Keeper::Gap> Keeper::GapsOf(const Open& read) const {
+  if (holding_ == nullptr || carried_) return Gaps(read.arrived, read.mark);
+  // Where sessions are held by one instance coverage says nothing: others answer without telling.
+  const Position from = std::max(read.arrived - options_.recall, read.mark ? read.mark->position : Time{});
+  const Position to = read.exact.value_or(read.arrived);
+  if (from < to) return {{from, to, 0}};
+  return {};
+}
+
+bool Keeper::WordCame(const RequestEvent& event) const {
+  if (holding_ != nullptr && !carried_) return holding_->Exact(KeyOf(event.group, event.session)).has_value();
+  const auto covered = CoveredUpTo();
+  return !covered || *covered >= *event.arrived;
+}
+
+bool Keeper::WorthHolding(const RequestEvent& event, Time arrived) {
   if (!Everywhere() || event.cls >= classes_.size()) return false;
   if (classes_[event.cls].kind != ReadKind::kSession) return false;
+  if (holding_ != nullptr && !carried_) {
+    const Key key = KeyOf(event.group, event.session);
+    // A read of a session that is held is also what keeps its lease.
+    const bool expected = holding_->Want(event.group, key, false);
+    return expected && !holding_->Exact(key);
+  }
   const auto covered = CoveredUpTo();
   // An instance that has not been heard for longer than this will hardly be heard in time. What is heard of
   // a quiet one is up to two of its pauses old.
--- a/src/session/keeper.h
+++ b/src/session/keeper.h
@@ -52,12 +52,27 @@
   std::uint64_t reads = 0;    // session reads seen
   std::uint64_t marked = 0;   // whose session's write was known
   std::uint64_t floored = 0;  // which got a target for what is not known
+  std::uint64_t exact = 0;    // for which all writes of the session were known, by Holding
   std::uint64_t lost = 0;     // turned away, by reason
   std::uint64_t unknown = 0;
   std::uint64_t too_old = 0;  // answers from data older than the target, not handed on
   std::uint64_t losses = 0;   // changes of primary that may have lost writes
 };
 
+// Who may answer a session's writes, where one instance holds a session at a time (src/directory). Without it
+// every instance may, and what the others answered is told by coverage.
+class Holding {
+ public:
+  // All writes of the session that any instance has answered up to now are known here, but for those up to
+  // the position that is returned. Absent: they may not be.
+  virtual std::optional<Position> Exact(Key key) = 0;
+  // The session has come with a write, or else a read. Whether an answer is expected that may make it exact.
+  virtual bool Want(GroupId group, Key key, bool write) = 0;
+
+ protected:
+  ~Holding() = default;
+};
+
 class Keeper {
  public:
   Keeper(const Settings& settings, Options options);
@@ -101,8 +116,13 @@
   void CloseGaps(std::uint64_t peer);
   // Up to when the writes of all other instances are known; absent where there are none.
   std::optional<Time> CoveredUpTo() const;
-  // Whether a session read that arrived at `arrived` gains by waiting for word from the other instances.
-  bool WorthHolding(const RequestEvent& event, Time arrived) const;
+  // Whether a session read that arrived at `arrived` gains by waiting for word from the other instances; asks
+  // for it where sessions are held by one instance at a time.
+  bool WorthHolding(const RequestEvent& event, Time arrived);
+  // Whether that word has come, to one that has waited.
+  bool WordCame(const RequestEvent& event) const;
+  // From now on sessions are held by one instance at a time, as this one knows.
+  void SetHolding(Holding* holding) { holding_ = holding; }
   Duration hold() const { return options_.hold; }
 
   const Ledger& ledger() const { return ledger_; }
@@ -119,6 +139,7 @@
     bool write = false;
     std::optional<Mark> mark;
     std::optional<Position> target;
+    std::optional<Position> exact;  // see Holding
   };
   struct Gap {
     Position from, to;
@@ -137,6 +158,7 @@
   // Times in which writes may have been answered that are not known here, for a read that arrived at `at`.
   // Those before its session's newest known write do not matter to it.
   std::vector<Gap> Gaps(Time at, const std::optional<Mark>& mark) const;
+  std::vector<Gap> GapsOf(const Open& read) const;
   std::optional<Reason> Doubt(const Open& read, Time now) const;
   void NewReign(GroupId group, Time now);
   void Turn(RequestId id, Reason reason);
@@ -150,6 +172,7 @@
   std::unordered_map<RequestId, Open> open_;
   std::map<std::uint64_t, Time> covered_;
   std::vector<Gap> gaps_;
+  Holding* holding_ = nullptr;
   std::optional<Time> started_;
   std::optional<Time> recovered_to_;
   Time now_{};
--- a/src/setup.cpp
+++ b/src/setup.cpp
@@ -171,9 +171,19 @@
   section.Time("flush_ms", peers.flush, 1, 1'000, kMs);
   section.Time("probe_ms", peers.probe, 20, 60'000, kMs);
   section.Time("join_within_s", peers.join_within, 0, 600, kSecond);
+  section.Word("marks", peers.marks,
+               {{"each", Marks::kEach},
+                {"directory", Marks::kDirectory},
+                {"directory-plain", Marks::kDirectoryPlain}});
+  if (const auto asks = section.Whole("asks_per_s", 0, 100'000))
+    peers.asks_per_s = static_cast<double>(*asks);
   section.Word("members", peers.plain_members, {{"proven", false}, {"plain", true}});
   section.Close();
+  if (peers.marks != Marks::kEach && peers.plain_members) {
+    section.Refuse("marks", "needs proven members: a directory counts on no two views being proven at once");
+  }
   if (!peers.listen) {
+    if (peers.marks != Marks::kEach) section.Refuse("marks", "says how, but 'peers.listen' names no address");
     if (!peers.seeds.empty()) section.Refuse("seeds", "name others, but 'peers.listen' names no address");
     if (peers.advertise) section.Refuse("advertise", "names an address, but 'peers.listen' names none");
     return;
--- a/src/setup.h
+++ b/src/setup.h
@@ -22,16 +22,26 @@
   Duration stall{250000};                 // an answer waits no longer than this for a disk that hangs
 };
 
+// How the instances know of each other's writes.
+enum class Marks {
+  kEach,       // each tells each of every write
+  kDirectory,  // one instance at a time holds a session (docs/design/session-directory.md)
+  // The same, and writes do not wait until it is held: reads may miss them. For comparison in the laboratory.
+  kDirectoryPlain,
+};
+
 // The exchange with the other instances; off where no address is named.
 struct PeersSetup {
   std::optional<net::Address> listen;
   std::optional<net::Address> advertise;  // where others reach it; where it listens if absent
-  std::string name;  // of this instance; as in the platform's configuration where empty
+  std::string name;                       // of this instance; as in the platform's configuration where empty
   std::vector<net::Address> seeds;
   std::string key_file;
   Duration flush{10000};
   Duration probe{200000};         // a SWIM protocol period
   Duration join_within{3000000};  // a start waits no longer than this for the others to count this instance
+  Marks marks = Marks::kEach;
+  double asks_per_s = 20;  // kDirectory: asks for reads, at most; beyond it they have the conservative target
   // SWIM alone, and parts claimed by those seen: two parts may both hold themselves for the larger. For
   // comparison in the laboratory.
   bool plain_members = false;
