Do not take a mark that a directory hands on for the word of a primary

Sessions' names of up to three bytes in two groups may have one key (p10 of group 1 and p11 of group 2; 90 pairs among p1 to p500), as XXH3 only adds the seed to so few bytes; a mark of the one, handed on for the other, named its own group's primary. Change: a handed mark is learnt without its group; the group's own reign goes with it as before. Test: two sessions of one key in two groups; fails with the group told.

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -153,7 +153,7 @@
 }
 
 void Directory::TakeGrant(Time now, Life from, const Message& grant) {
-  if (grant.mark) marks_.Learn(grant.group, grant.key, *grant.mark);
+  if (grant.mark) marks_.Learn(grant.key, *grant.mark);
   const auto wanted = wants_.find(grant.key);
   if (grant.view != view_) return;
   const bool asked = wanted != wants_.end() && wanted->second.id == grant.id;
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -19,7 +19,9 @@
 class Marks {
  public:
   virtual session::Ledger::Known Newest(session::Key key) const = 0;
-  virtual void Learn(GroupId group, session::Key key, const session::Mark& mark) = 0;
+  // It says nothing of who is primary in which group: names of up to three bytes in two groups may share a
+  // key (XXH3 only adds the seed to so few, and other bytes make up for it).
+  virtual void Learn(session::Key key, const session::Mark& mark) = 0;
 
  protected:
   ~Marks() = default;
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -105,9 +105,7 @@
   };
 
   session::Ledger::Known Newest(session::Key key) const override { return keeper_.ledger().Find(key); }
-  void Learn(GroupId group, session::Key key, const session::Mark& mark) override {
-    keeper_.Learn(group, key, mark);
-  }
+  void Learn(session::Key key, const session::Mark& mark) override { keeper_.Learn(std::nullopt, key, mark); }
   // Tells the directory where this instance stands; `whole`: also whether with all of the fleet.
   void Stand(Time now, bool whole);
   bool Whole(Time now);
--- a/tests/directory_exchange_test.cpp
+++ b/tests/directory_exchange_test.cpp
@@ -512,6 +512,32 @@
   CHECK(fleet.stale == 0);
 }
 
+TEST_CASE(
+    "directory: a mark that is handed on tells no reign of the group of another session of the same key") {
+  constexpr GroupId kOther{2};
+  const session::Key key = session::KeyOf(kGroup, "p10");
+  REQUIRE(key == session::KeyOf(kOther, "p11"));
+  Fleet fleet(2, {});
+  REQUIRE(fleet.UntilWhole(kSecond * 20));
+  fleet.Pass(kSecond);
+  for (const std::size_t at : {0u, 1u}) {
+    // Written in one group here, and met in the other there.
+    Node& node = *fleet.nodes[at];
+    Node& other = *fleet.nodes[1 - at];
+    node.keeper.Learn(kGroup, key, {fleet.now, kPrimary});
+    node.Want(kGroup, key, true);
+    fleet.Pass(kSecond);
+    REQUIRE(node.exchange->MayAnswer(fleet.now, key));
+    other.Want(kOther, key, true);
+    fleet.Pass(kSecond);
+    REQUIRE(other.exchange->MayAnswer(fleet.now, key));
+    CHECK_FALSE(node.exchange->MayAnswer(fleet.now, key));
+    REQUIRE(other.keeper.ledger().Find(key).mark);
+    const auto& reigns = other.keeper.reigns();
+    CHECK((!reigns.contains(kOther) || !reigns.at(kOther).primary()));
+  }
+}
+
 TEST_CASE("directory: one that starts from nothing is told the reigns that others know") {
   Fleet fleet(3, {});
   REQUIRE(fleet.UntilWhole(kSecond * 20));
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -74,7 +74,7 @@
     directory = std::make_unique<Directory>(options, *this, now);
   }
   session::Ledger::Known Newest(session::Key key) const override { return ledger.Find(key); }
-  void Learn(GroupId, session::Key key, const session::Mark& mark) override { ledger.Note(key, mark); }
+  void Learn(session::Key key, const session::Mark& mark) override { ledger.Note(key, mark); }
 
   void See(Time now) {
     const members::Standing::Value value = standing.At(now);
