Let each load of the directory's tests end what it began

Cause: the curves' load, that goes on, left sessions' later steps to the next test phase, which played them at once: 168 of 649 reads were conservative after a cut had healed.

--- a/tests/directory_exchange_test.cpp
+++ b/tests/directory_exchange_test.cpp
@@ -234,8 +234,8 @@
   }
 
   // `per_s` writes of each instance, each session writing three times and read twice after each, `roam` of a
-  // hundred of these elsewhere.
-  void Load(Duration time, double per_s, int roam) {
+  // hundred of these elsewhere. What sessions have not done by its end is left out, unless it goes on.
+  void Load(Duration time, double per_s, int roam, bool go_on = false) {
     const Time end = now + time;
     double due = 0;
     while (now < end) {
@@ -263,6 +263,7 @@
       Pass(kTick);
       std::erase_if(answered, [this](const Answered& one) { return now - one.at > kSecond * 8; });
     }
+    if (!go_on) later.clear();
   }
 
   struct Datagram {
@@ -604,7 +605,7 @@
         fleet.bytes = fleet.directory_bytes = 0;
         fleet.Pass(kSecond * 2);
         const double quiet = static_cast<double>(fleet.bytes) / 2 / static_cast<double>(size) * 2;
-        fleet.Load(kSecond * 4, 51, roam);
+        fleet.Load(kSecond * 4, 51, roam, true);
         fleet.bytes = fleet.directory_bytes = fleet.packets = 0;
         fleet.waited_ms.clear();
         fleet.reads_done = fleet.conservative = 0;
