--- a/lab/scale_host.cpp
+++ b/lab/scale_host.cpp
@@ -129,6 +129,12 @@
     peers_->Wrote(group, key, mark);
     counts_.peers_us += ThreadUs() - from;
   }
+  bool WhenHeld(GroupId group, session::Key key, std::function<void()> call) override {
+    const std::int64_t from = ThreadUs();
+    const bool waits = peers_->WhenHeld(group, key, std::move(call));
+    counts_.peers_us += ThreadUs() - from;
+    return waits;
+  }
   void Solicit() override {
     const std::int64_t from = ThreadUs();
     peers_->Solicit();
@@ -624,6 +630,7 @@
   std::string text = "[sessions]\nscope = \"everywhere\"\nrecall_s = 10\n[peers]\nlisten = " +
                      at(spec.udp[static_cast<std::size_t>(pooler)]) + "\nseeds = [" + seeds +
                      "]\nkey_file = \"" + spec.folder + "/key\"\n";
+  if (spec.marks != "none") text += "marks = \"" + spec.marks + "\"\n";
   if (control > 0) text += "[control]\nlisten = " + at(control) + "\n";
   return text;
 }
--- a/lab/scale_script.cpp
+++ b/lab/scale_script.cpp
@@ -67,8 +67,9 @@
     for (const std::string& one : scripts) known += (known.empty() ? "" : ", ") + one;
     return "there is no script \"" + options.script + "\": " + known;
   }
-  if (options.marks != "each" && options.marks != "none") {
-    return "marks cannot be exchanged by \"" + options.marks + "\": each, none";
+  const std::vector<std::string> ways = {"each", "directory", "directory-plain", "none"};
+  if (std::ranges::find(ways, options.marks) == ways.end()) {
+    return "marks cannot be exchanged by \"" + options.marks + "\": each, directory, directory-plain, none";
   }
   for (const std::string& wrong :
        {range("poolers", options.poolers, 3, kMostPoolers),
