--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -27,8 +27,8 @@
   Time Now() const { return now_; }
   // The clock as it stands at this moment; never behind Now().
   Time Precise() const;
-  // What this pass brings has come no earlier than this: what comes during a long pass waits for the next one,
-  // and what comes to a process that stands still waits until it goes on.
+  // What this pass brings has come no earlier than this: what comes during a long pass waits for the next
+  // one, and what comes to a process that stands still waits until it goes on.
   Time Since() const { return since_; }
 
   Poller& poller() { return poller_; }
--- a/src/peers/traffic.h
+++ b/src/peers/traffic.h
@@ -8,7 +8,8 @@
 
 namespace lynxgrade::peers {
 
-// What a packet is for (kMarks: what tells of sessions' writes, by whichever way); its reigns and its rumours count under their own kind wherever they travel.
+// What a packet is for (kMarks: what tells of sessions' writes, by whichever way); its reigns and its rumours
+// count under their own kind wherever they travel.
 enum class Kind { kMembership, kMarks, kReigns, kLedger };
 constexpr std::array<const char*, 4> kKinds = {"membership", "marks", "reigns", "ledger"};
 
