--- /dev/null
+++ b/docs/capacity/curves.gp
@@ -0,0 +1,17 @@
+# gnuplot docs/capacity/curves.gp, from the project's root; written by lynxgrade-lab capacity.
+set terminal svg size 1000,600 font "sans,11" background "white" noenhanced
+set output "docs/capacity/curves.svg"
+set logscale xy
+set xlabel "poolers; databases, clients and statements grow in step"
+set ylabel "parts of the budget, worst ordinary second"
+set key outside bottom center
+set grid
+set xrange [5:3280]
+set yrange [0.001:1000]
+set arrow from 410,0.001 to 410,1000 nohead dashtype 3
+plot 1 with lines linewidth 2 linecolor "black" title "the budget; dotted: the target", \
+  "docs/capacity/curves.dat" index 0 using 1:3 with lines title "sessions that wrote within recall, entries at most", \
+  "docs/capacity/curves.dat" index 1 using 1:3 with lines title "two pauses between packets to one pooler, ms", \
+  "docs/capacity/curves.dat" index 2 using 1:3 with lines title "wait of a read that asks poolers of the other region, ms", \
+  "docs/capacity/curves.dat" index 3 using 1:3 with lines title "answer to a ping across regions, ms", \
+  "docs/capacity/curves.dat" index 4 using 1:3 with lines title "connections of poolers to one database"
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <exception>
 
+#include "capacity_command.h"
 #include "data_servers.h"
 #include "members_run.h"
 #include "pooler_process.h"
@@ -66,6 +67,12 @@
   app.add_option("--pooler", pooler, "the program to start as pooler");
   CLI::App* up =
       app.add_subcommand("up", "discovery, two groups of stand-in data servers and a pooler, to try");
+  CapacityOptions capacity;
+  CLI::App* of_capacity = app.add_subcommand("capacity", "write docs/CAPACITY.md from a target and records");
+  of_capacity->add_option("--target", capacity.target, "the size to be carried, a file in TOML");
+  of_capacity->add_option("--measurements", capacity.measurements, "records of runs, files in JSON");
+  of_capacity->add_option("--out", capacity.out, "the page");
+  of_capacity->add_option("--plot", capacity.plot, "the folder for its curves");
   CLI::App* run = app.add_subcommand("run", "play a scenario and print its figures, one a line");
   run->require_subcommand(1);
   SessionsOptions sessions;
@@ -96,6 +103,7 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : 2;
   }
+  if (of_capacity->parsed()) return WriteCapacity(capacity);
   members.pooler = pooler;
   if (of_members->parsed()) return RunMembers(members);
   sessions.pooler = pooler;
--- /dev/null
+++ b/src/capacity/measurements.h
@@ -0,0 +1,37 @@
+// Records of runs: what size was played and what each pooler did there. Read from JSON; free of I/O and
+// clocks.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace lynxgrade::capacity {
+
+// The size of a fleet, played or to be reckoned with, whole fleet throughout. The same for both, so that a
+// slope is used on what it was taken from.
+struct Size {
+  double poolers = 0, databases = 0, clients = 0, statements_per_s = 0;
+  double writes_share = 0, roam_share = 0;  // of statements, 0 to 1
+  double changes_per_s = 0;                 // of the list of data servers, or of what else poolers are told
+};
+
+struct Record {
+  Size size;
+  double real = 0;  // how many of the poolers were processes of their own
+  double seconds = 0;
+  double seed = 0;
+  std::string script;  // what was played
+  std::string marks;   // the way in which marks were exchanged; empty: it does not matter there
+  std::string commit;
+  std::map<std::string, double> figures;  // of one pooler, the mean over all; names end in their unit
+};
+
+// The records in `text`, a JSON list, or one plain sentence. Keys that are not known are passed over, so that
+// a run may tell more than the page shows.
+std::variant<std::vector<Record>, std::string> ReadMeasurements(std::string_view text);
+
+}  // namespace lynxgrade::capacity
--- /dev/null
+++ b/src/capacity/model.cpp
@@ -0,0 +1,668 @@
+#include "capacity/model.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "fleet/call_waits.h"
+
+namespace lynxgrade::capacity {
+namespace {
+
+constexpr double kDay = 86'400;
+// What a fit's range holds and what lies beyond it: runs hit the rates that they are asked for within this.
+constexpr double kSlack = 0.05;
+// Changes in fewer than one second of a hundred are none in an ordinary one.
+constexpr double kHardlyAny = 0.01;
+constexpr double kMostGrowth = 8;  // times the target: beyond it the design is another
+
+// Of the program as it stands; docs/CAPACITY.md names the folder of each.
+constexpr double kPacketsPerS = 2'000;     // peers::Exchange::Options::packets_per_s
+constexpr double kIdleFlushMs = 100;       // peers::Exchange::Options::idle
+constexpr double kHoldMs = 30;             // sessions.hold_ms
+constexpr double kHeardLately = 8;         // holds: how old a peer's word may be for a read to wait for more
+constexpr double kProbeMs = 200;           // peers.probe_ms
+constexpr double kMarksKept = 65'536;      // peers::Exchange::Options::kept
+constexpr double kRecallS = 30;            // sessions.recall_s
+constexpr double kLedgerSessions = 8'192;  // sessions.capacity
+constexpr double kPooledS = 10;            // a connection to a database that was asked that lately stays open
+constexpr double kAnswerBytes = 1'048'576;  // control::Server::kLongestAnswer
+constexpr double kDrainGraceS = 2;          // rules.drain_grace_us of the platform
+
+// Scripts whose records tell of one column, or of one part alone, and not of an ordinary second.
+bool Ordinary(const Record& record) {
+  for (const char* word : {"zone", "region", "rack", "idle_clients", "decision", "ledger", "peers_command"}) {
+    if (record.script.starts_with(word)) return false;
+  }
+  return true;
+}
+
+using Keep = std::function<bool(const Record&)>;
+
+Cell Worked(double value) { return {How::kWorkedOut, value, 0, false}; }
+
+Cell Sum(const std::vector<Cell>& cells) {
+  Cell sum{How::kMeasured, 0, 0, false};
+  bool any = false;
+  for (const Cell& cell : cells) {
+    if (cell.how == How::kNotMeasured) {
+      sum.at_least = true;
+      continue;
+    }
+    any = true;
+    sum.how = std::max(sum.how, cell.how);
+    sum.at_least = sum.at_least || cell.at_least;
+    sum.value += cell.value;
+    sum.error = std::hypot(sum.error, cell.error);
+  }
+  return any ? sum : Cell{};
+}
+
+Cell Times(Cell cell, double by) {
+  cell.value *= by;
+  cell.error *= by;
+  return cell;
+}
+
+double ListChanges(const Target& target) {
+  return (target.machine_failures_per_day + target.restarts_per_day + target.primary_changes_per_day) / kDay;
+}
+
+// A list of rows in the making; what the rows of a figure share is said once.
+class Builder {
+ public:
+  explicit Builder(const std::vector<Record>& records) : records_(records) {}
+
+  std::vector<const Record*> Kept(const Keep& keep) const {
+    std::vector<const Record*> kept;
+    for (const Record& record : records_) {
+      if (keep(record)) kept.push_back(&record);
+    }
+    return kept;
+  }
+
+  // A row by slopes of a figure. `events`: a zone's or a region's loss adds to it what the slopes of ordinary
+  // seconds do not show.
+  Row& Fitted(Row row, const std::string& figure, const std::vector<Term>& terms, const Keep& keep,
+              bool events = false) {
+    const Slopes slopes(terms, figure, Kept(keep));
+    row.slopes = slopes;
+    const double scale = row.scale;
+    row.at = [slopes, scale, events](const Target& target, Column column) {
+      Cell cell = Times(slopes.At(SizeIn(target, column)), scale);
+      if (cell.how == How::kNotMeasured) return cell;
+      if (events && (column == Column::kZoneGone || column == Column::kRegionsCut)) {
+        cell.how = How::kWorkedOut;
+        cell.at_least = true;
+      }
+      return cell;
+    };
+    return Add(std::move(row));
+  }
+
+  Row& Arithmetic(Row row, std::function<Cell(const Target&, Column)> at) {
+    row.at = std::move(at);
+    return Add(std::move(row));
+  }
+
+  Row& NotMeasured(Row row) {
+    row.at = [](const Target&, Column) { return Cell{}; };
+    return Add(std::move(row));
+  }
+
+  std::vector<Row> rows;
+
+ private:
+  Row& Add(Row row) {
+    rows.push_back(std::move(row));
+    return rows.back();
+  }
+
+  const std::vector<Record>& records_;
+};
+
+Row Named(Role role, const char* group, std::string name, const char* mechanism, const char* note = "") {
+  Row row;
+  row.role = role;
+  row.group = group;
+  row.name = std::move(name);
+  row.mechanism = mechanism;
+  row.note = note;
+  return row;
+}
+
+// Marks that one pooler has not sent to one across the cut, the most that it keeps in sequence.
+double MissedMarks(const Target& target) {
+  const Size size = SizeIn(target, Column::kOrdinary);
+  return std::min(ValueOf(Term::kWrites, size) * target.region_cut_s, kMarksKept);
+}
+
+// Rows of the exchange of marks as it was played: one set for each way.
+void AddMarks(Builder& build, const std::string& way, const std::vector<Row>& others) {
+  const std::string suffix = way.empty() ? "" : ", marks \"" + way + "\"";
+  const bool owners = !way.empty() && way != "each" && way != "off";
+  const Keep keep = [way](const Record& record) { return record.marks == way && Ordinary(record); };
+  // From each to each a write goes to every other pooler, so the fleet's writes come to each.
+  const std::vector<Term> terms =
+      owners ? std::vector<Term>{Term::kOne, Term::kPoolers, Term::kWrites, Term::kRoaming}
+             : std::vector<Term>{Term::kOne, Term::kPoolers, Term::kFleetWrites};
+  std::vector<Row> bytes = others;
+  for (const char* direction : {"out", "in"}) {
+    Row& row =
+        build.Fitted(Named(Role::kPooler, "messages",
+                           "marks " + std::string(direction) + suffix + ", bytes a second", "src/peers"),
+                     std::string("marks_bytes_") + direction + "_per_s", terms, keep, true);
+    if (!owners && row.slopes->SlopeOf(Term::kFleetWrites)) {
+      row.note = "regions cut: with what was missed, sent again after the cut";
+      const auto before = row.at;
+      const double per_mark = *row.slopes->SlopeOf(Term::kFleetWrites);
+      row.at = [before, per_mark](const Target& target, Column column) {
+        Cell cell = before(target, column);
+        if (cell.how == How::kNotMeasured || column != Column::kRegionsCut) return cell;
+        const double across = target.poolers - target.poolers / target.regions;
+        cell.value += per_mark * across * MissedMarks(target) / target.catch_up_s.assumed;
+        return cell;
+      };
+    }
+    bytes.push_back(row);
+  }
+  const auto sum = [bytes](const Target& target, Column column) {
+    std::vector<Cell> cells;
+    for (const Row& row : bytes) cells.push_back(row.at(target, column));
+    return Sum(cells);
+  };
+  Row all =
+      Named(Role::kPooler, "messages", "**control, all kinds, both ways" + suffix + ", bytes a second**",
+            "src/peers, src/discovery", "the sum of the rows of membership, marks and discovery");
+  all.budget = [](const Target& target) { return target.bytes_per_s; };
+  all.issue = "38";
+  build.Arithmetic(all, sum);
+  for (const char* direction : {"out", "in"}) {
+    build.Fitted(Named(Role::kPooler, "messages", "packets " + std::string(direction) + suffix + ", a second",
+                       "src/peers"),
+                 std::string("packets_") + direction + "_per_s", terms, keep, true);
+  }
+  Row cpu = Named(Role::kPooler, "processor", "control" + suffix + ", % of a core",
+                  "src/peers, src/members, src/session, src/discovery");
+  cpu.scale = 100;
+  cpu.budget = [](const Target& target) { return target.cpu_percent; };
+  cpu.issue = "38";
+  build.Fitted(cpu, "cpu_share", terms, keep, true);
+  Row memory = Named(Role::kPooler, "memory", "control" + suffix + ", MB",
+                     "src/peers, src/session, src/discovery, src/balance.cpp");
+  memory.budget = [](const Target& target) { return target.memory_mb; };
+  memory.issue = "none yet";
+  build.Fitted(memory, "memory_mb", {Term::kOne, Term::kPoolers, Term::kDatabases}, keep, true);
+}
+
+void AddPooler(Builder& build, const std::vector<Record>& records) {
+  constexpr Role role = Role::kPooler;
+  const auto size_of = [](Term term, double less = 0) {
+    return [term, less](const Target& target, Column column) {
+      return Worked(ValueOf(term, SizeIn(target, column)) - less);
+    };
+  };
+  build.Arithmetic(Named(role, "state", "other poolers known, entries", "src/peers/swim", "poolers - 1"),
+                   [](const Target& target, Column) { return Worked(target.poolers - 1); });
+  build.Arithmetic(
+      Named(role, "state", "databases known, entries", "src/discovery, src/balance.cpp", "databases"),
+      [](const Target& target, Column) { return Worked(target.databases); });
+  Row sessions =
+      Named(role, "state", "sessions that wrote within `recall`, entries at most", "src/session/ledger",
+            "the fleet's writes a second x 30 s; beside it what the ledger holds unless set: what is "
+            "forgotten costs a read waiting");
+  sessions.budget = [](const Target&) { return kLedgerSessions; };
+  sessions.issue = "none: a setting";
+  build.Arithmetic(sessions, [](const Target& target, Column column) {
+    return Worked(ValueOf(Term::kFleetWrites, SizeIn(target, column)) * kRecallS);
+  });
+  const Keep ledger = [](const Record& record) { return record.script == "ledger"; };
+  const Row& session =
+      build.Fitted(Named(role, "state", "a session in the ledger, bytes", "src/session/ledger"),
+                   "ledger_bytes_per_session", {Term::kOne}, ledger);
+  build.Arithmetic(Named(role, "memory", "the ledger with all these sessions, MB", "src/session/ledger",
+                         "the two rows above; beside what the row of control holds"),
+                   [at = session.at](const Target& target, Column column) {
+                     Cell cell = at(target, column);
+                     if (cell.how == How::kNotMeasured) return cell;
+                     cell.how = How::kWorkedOut;
+                     return Times(cell,
+                                  ValueOf(Term::kFleetWrites, SizeIn(target, column)) * kRecallS * 1e-6);
+                   });
+  build.Arithmetic(Named(role, "state", "own marks kept for others, entries", "src/peers/exchange",
+                         "writes of one pooler x the length of a cut, 65,536 at most"),
+                   [](const Target& target, Column) { return Worked(MissedMarks(target)); });
+
+  std::vector<Row> others;
+  for (const char* direction : {"out", "in"}) {
+    others.push_back(
+        build.Fitted(Named(role, "messages", "membership " + std::string(direction) + ", bytes a second",
+                           "src/peers/swim"),
+                     std::string("membership_bytes_") + direction + "_per_s",
+                     {Term::kOne, Term::kPoolers, Term::kChanges}, Ordinary, true));
+  }
+  others.push_back(build.Fitted(
+      Named(role, "messages", "discovery's list in, bytes a second", "src/discovery"),
+      "discovery_bytes_in_per_s", {Term::kOne, Term::kDatabases, Term::kChanges}, Ordinary, true));
+  const std::vector<Row> membership(others.begin(), others.begin() + 2);
+  Row both = Named(role, "messages", "membership alone, both ways, bytes a second", "src/peers/swim",
+                   "of the budget of all kinds together");
+  both.budget = [](const Target& target) { return target.bytes_per_s; };
+  both.issue = "26";
+  build.Arithmetic(both, [membership](const Target& target, Column column) {
+    return Sum({membership[0].at(target, column), membership[1].at(target, column)});
+  });
+  std::vector<std::string> ways;
+  for (const Record& record : records) {
+    if (Ordinary(record) && std::find(ways.begin(), ways.end(), record.marks) == ways.end()) {
+      ways.push_back(record.marks);
+    }
+  }
+  if (ways.empty()) ways.push_back("");
+  for (const std::string& way : ways) AddMarks(build, way, others);
+  build.Fitted(Named(role, "messages", "probes of databases out, a second", "src/balance.cpp, src/upstream"),
+               "probes_per_s", {Term::kOne, Term::kDatabases}, Ordinary);
+  Row pause =
+      Named(role, "messages", "two pauses between packets to one pooler, ms", "src/peers/exchange",
+            "from each to each, 2,000 packets a second at most; a word older than 240 ms is not waited "
+            "for, and reads take a cautious target");
+  pause.budget = [](const Target&) { return kHoldMs * kHeardLately; };
+  pause.issue = "38";
+  build.Arithmetic(pause, [](const Target& target, Column column) {
+    const double poolers = SizeIn(target, column).poolers;
+    return Worked(2 * std::max(kIdleFlushMs, (poolers - 1) / kPacketsPerS * 1000));
+  });
+  Row wait = Named(role, "messages", "wait of a read that asks poolers of the other region, ms",
+                   "src/session/keeper", "one round trip, beside `hold_ms`; longer ones are not waited for");
+  wait.budget = [](const Target&) { return kHoldMs; };
+  wait.issue = "38";
+  build.Arithmetic(wait,
+                   [](const Target& target, Column) { return Worked(target.region_round_trip_ms.assumed); });
+  Row ping = Named(role, "messages", "answer to a ping across regions, ms", "src/peers/swim",
+                   "one round trip, beside the period `probe_ms`: slower ones leave the fleet in doubt");
+  ping.budget = [](const Target&) { return kProbeMs; };
+  ping.issue = "26";
+  build.Arithmetic(ping,
+                   [](const Target& target, Column) { return Worked(target.region_round_trip_ms.assumed); });
+  build.Arithmetic(Named(role, "messages", "clients that connect anew, a second", "src/front",
+                         "clients of a zone / time in which they come again / poolers left"),
+                   [](const Target& target, Column column) {
+                     if (column != Column::kZoneGone) return Cell{};
+                     return Worked(target.clients / target.zones / target.clients_again_s.assumed /
+                                   SizeIn(target, column).poolers);
+                   });
+  build.Arithmetic(
+      Named(role, "messages", "statements and answers, bytes a second", "src/front, src/upstream",
+            "own statements x bytes of both; read and written once on each side; not control"),
+      [](const Target& target, Column column) {
+        return Worked(ValueOf(Term::kStatements, SizeIn(target, column)) * target.statement_bytes.assumed);
+      });
+  const Keep decision = [](const Record& record) { return record.script == "decision"; };
+  const Row& time =
+      build.Fitted(Named(role, "processor", "a decision, microseconds a statement", "src/balance.cpp"),
+                   "module_cpu_us_per_statement", {Term::kOne, Term::kDatabases}, decision);
+  build.Arithmetic(Named(role, "processor", "decisions, % of a core", "src/balance.cpp",
+                         "own statements x the row above; not control"),
+                   [at = time.at](const Target& target, Column column) {
+                     Cell cell = at(target, column);
+                     if (cell.how == How::kNotMeasured) return cell;
+                     cell.how = How::kWorkedOut;
+                     return Times(cell, ValueOf(Term::kStatements, SizeIn(target, column)) * 1e-6 * 100);
+                   });
+  const Keep idle = [](const Record& record) { return record.script == "idle_clients"; };
+  build.Fitted(Named(role, "memory", "a pooler with idle clients, MB", "src/front, src/net",
+                     "one pooler, peers off; not control"),
+               "memory_mb", {Term::kOne, Term::kClients}, idle);
+  build.Arithmetic(Named(role, "descriptors", "clients", "src/front", "clients / poolers"),
+                   size_of(Term::kClients));
+  build.Arithmetic(Named(role, "descriptors", "databases with a connection open", "src/upstream",
+                         "databases x the chance that one is asked within 10 s, asked alike"),
+                   [](const Target& target, Column column) {
+                     const Size size = SizeIn(target, column);
+                     const double asked = ValueOf(Term::kStatements, size) / size.databases;
+                     return Worked(size.databases * (1 - std::exp(-asked * kPooledS)));
+                   });
+  build.Fitted(Named(role, "descriptors", "all that the process holds, idle clients alone", "src/net"),
+               "descriptors", {Term::kOne, Term::kClients}, idle);
+}
+
+void AddControlMachines(Builder& build) {
+  constexpr Role role = Role::kControlMachines;
+  const auto left = [](const Target& target, Column column) {
+    if (column == Column::kZoneGone) return std::max(1.0, target.control_machines - 1);
+    if (column == Column::kRegionsCut) return std::max(1.0, std::floor(target.control_machines / 2));
+    return target.control_machines;
+  };
+  build.Arithmetic(Named(role, "state", "poolers followed by one machine, entries", "none",
+                         "poolers / machines in reach: one fewer without a zone, the smaller half on a cut"),
+                   [left](const Target& target, Column column) {
+                     return Worked(SizeIn(target, column).poolers / left(target, column));
+                   });
+  build.NotMeasured(Named(role, "state", "an entry, bytes", "none"));
+  build.Arithmetic(Named(role, "messages", "configuration out, messages a second, all machines", "none",
+                         "changes x poolers; worst second: one change to all at once"),
+                   [](const Target& target, Column column) {
+                     const double changes =
+                         column == Column::kWorstOrdinary ? 1 : target.configuration_changes_per_day / kDay;
+                     return Worked(changes * SizeIn(target, column).poolers);
+                   });
+  build.Arithmetic(
+      Named(role, "messages", "configuration out, bytes a second, all machines", "none",
+            "the row above x bytes of a change"),
+      [](const Target& target, Column column) {
+        const double changes =
+            column == Column::kWorstOrdinary ? 1 : target.configuration_changes_per_day / kDay;
+        return Worked(changes * SizeIn(target, column).poolers * target.configuration_bytes.assumed);
+      });
+  build.NotMeasured(Named(role, "messages", "acknowledgements in, a second", "none"));
+  build.NotMeasured(Named(role, "processor", "control, % of a core", "none"));
+  build.NotMeasured(Named(role, "memory", "control, MB", "none"));
+  build.Arithmetic(Named(role, "descriptors", "connections of poolers to one machine", "none",
+                         "one a pooler, should they be connections"),
+                   [left](const Target& target, Column column) {
+                     return Worked(SizeIn(target, column).poolers / left(target, column));
+                   });
+}
+
+void AddDiscovery(Builder& build) {
+  constexpr Role role = Role::kDiscovery;
+  const Row* list = nullptr;
+  for (const Row& row : build.rows) {
+    if (row.name.starts_with("discovery's list in")) list = &row;
+  }
+  const auto list_at = list->at;
+  build.Arithmetic(Named(role, "state", "databases listed, entries", "src/discovery (the pooler's side)"),
+                   [](const Target& target, Column) { return Worked(target.databases); });
+  build.NotMeasured(Named(role, "state", "an entry, bytes", "none"));
+  build.Arithmetic(Named(role, "messages", "changes of the list out, lines a second, to all poolers",
+                         "src/discovery (the pooler's side)", "changes x poolers"),
+                   [](const Target& target, Column column) {
+                     const Size size = SizeIn(target, column);
+                     return Worked(size.changes_per_s * size.poolers);
+                   });
+  build.Arithmetic(Named(role, "messages", "the list out, bytes a second, to all poolers",
+                         "src/discovery (the pooler's side)", "poolers x what one receives"),
+                   [list_at](const Target& target, Column column) {
+                     Cell cell = Times(list_at(target, column), SizeIn(target, column).poolers);
+                     if (cell.how == How::kMeasured) cell.how = How::kWorkedOut;
+                     return cell;
+                   });
+  build.Arithmetic(Named(role, "messages", "calls a second, `ask`, first round after all fell silent",
+                         "src/fleet/call_waits",
+                         "poolers / the window in which each draws its first wait; with `push` none"),
+                   [](const Target& target, Column column) {
+                     const double poolers = SizeIn(target, column).poolers;
+                     fleet::CallWaits waits(true, static_cast<std::uint32_t>(poolers),
+                                            fleet::Duration(static_cast<std::int64_t>(kDrainGraceS * 1e6)));
+                     // All that draw just under one draw the window's end.
+                     const double window =
+                         static_cast<double>(waits.Next(0.999999, fleet::Duration{}).count()) / 1e6;
+                     return Worked(poolers / window);
+                   });
+  build.NotMeasured(Named(role, "processor", "% of a core", "none"));
+  build.NotMeasured(Named(role, "memory", "MB", "none"));
+  build.Arithmetic(
+      Named(role, "descriptors", "watches open, `ask`", "src/discovery (the pooler's side)",
+            "one a pooler; with `push` one at each machine's agent"),
+      [](const Target& target, Column column) { return Worked(SizeIn(target, column).poolers); });
+}
+
+void AddDatabase(Builder& build) {
+  constexpr Role role = Role::kDatabase;
+  const Row* probes = nullptr;
+  for (const Row& row : build.rows) {
+    if (row.name.starts_with("probes of databases out")) probes = &row;
+  }
+  const auto probes_at = probes->at;
+  build.Arithmetic(
+      Named(role, "messages", "statements in, a second", "src/balance.cpp", "statements / databases"),
+      [](const Target& target, Column column) {
+        const Size size = SizeIn(target, column);
+        return Worked(size.statements_per_s / size.databases);
+      });
+  build.Arithmetic(Named(role, "messages", "statements of one pooler, a second", "src/balance.cpp",
+                         "statements / (poolers x databases): every pair is in use"),
+                   [](const Target& target, Column column) {
+                     const Size size = SizeIn(target, column);
+                     return Worked(ValueOf(Term::kStatements, size) / size.databases);
+                   });
+  build.Arithmetic(Named(role, "messages", "probes in, a second", "src/balance.cpp, src/upstream",
+                         "poolers x probes of one / databases"),
+                   [probes_at](const Target& target, Column column) {
+                     const Size size = SizeIn(target, column);
+                     Cell cell = Times(probes_at(target, column), size.poolers / size.databases);
+                     if (cell.how == How::kMeasured) cell.how = How::kWorkedOut;
+                     return cell;
+                   });
+  Row connections =
+      Named(role, "descriptors", "connections of poolers to one database", "none",
+            "poolers x the chance that each asks within 10 s; no pooler keeps to a part of them");
+  connections.budget = [](const Target& target) { return target.database_connections.assumed; };
+  connections.issue = "30";
+  build.Arithmetic(connections, [](const Target& target, Column column) {
+    const Size size = SizeIn(target, column);
+    const double asked = ValueOf(Term::kStatements, size) / size.databases;
+    return Worked(size.poolers * (1 - std::exp(-asked * kPooledS)));
+  });
+  build.Fitted(Named(role, "descriptors", "databases that one pooler asks, as played", "src/upstream"),
+               "database_connections_asked_per_s", {Term::kOne, Term::kDatabases}, Ordinary);
+}
+
+void AddCommand(Builder& build) {
+  constexpr Role role = Role::kCommand;
+  const Keep asked = [](const Record& record) { return record.script == "peers_command"; };
+  Row answer = Named(role, "messages", "answer of `lynxgrade peers`, bytes", "src/control");
+  answer.budget = [](const Target&) { return kAnswerBytes; };
+  answer.issue = "none yet";
+  build.Fitted(answer, "peers_answer_bytes", {Term::kOne, Term::kPoolers}, asked);
+  build.Arithmetic(Named(role, "messages", "poolers to be asked for the whole fleet's word", "none",
+                         "each answers for itself, on its own machine alone"),
+                   [](const Target& target, Column) { return Worked(target.poolers); });
+  build.Arithmetic(Named(role, "descriptors", "questions that one pooler answers at once", "src/control"),
+                   [](const Target&, Column) { return Worked(4); });
+  build.NotMeasured(Named(role, "processor", "the pooler's for one answer, ms", "src/control"));
+}
+
+}  // namespace
+
+const char* NameOf(Term term) {
+  switch (term) {
+    case Term::kOne:
+      return "1";
+    case Term::kPoolers:
+      return "poolers";
+    case Term::kDatabases:
+      return "databases";
+    case Term::kClients:
+      return "own clients";
+    case Term::kStatements:
+      return "own statements";
+    case Term::kWrites:
+      return "own writes";
+    case Term::kFleetWrites:
+      return "poolers x own writes";
+    case Term::kRoaming:
+      return "own roaming statements";
+    case Term::kChanges:
+      return "changes";
+  }
+  return "";
+}
+
+double ValueOf(Term term, const Size& size) {
+  const double own = size.poolers > 0 ? 1 / size.poolers : 0;
+  switch (term) {
+    case Term::kOne:
+      return 1;
+    case Term::kPoolers:
+      return size.poolers;
+    case Term::kDatabases:
+      return size.databases;
+    case Term::kClients:
+      return size.clients * own;
+    case Term::kStatements:
+      return size.statements_per_s * own;
+    case Term::kWrites:
+      return size.statements_per_s * size.writes_share * own;
+    case Term::kFleetWrites:
+      return size.statements_per_s * size.writes_share;
+    case Term::kRoaming:
+      return size.statements_per_s * size.roam_share * own;
+    case Term::kChanges:
+      return size.changes_per_s;
+  }
+  return 0;
+}
+
+Slopes::Slopes(const std::vector<Term>& terms, const std::string& figure,
+               const std::vector<const Record*>& records) {
+  std::vector<const Record*> held;
+  for (const Record* record : records) {
+    if (record->figures.contains(figure)) held.push_back(record);
+  }
+  if (held.empty()) {
+    refused_ = "no record tells `" + figure + "`";
+    return;
+  }
+  std::vector<std::string> names = {"the constant"};
+  for (const Term term : terms) {
+    if (term == Term::kOne) continue;
+    Range range{term, ValueOf(term, held[0]->size), ValueOf(term, held[0]->size)};
+    for (const Record* record : held) {
+      range.least = std::min(range.least, ValueOf(term, record->size));
+      range.most = std::max(range.most, ValueOf(term, record->size));
+    }
+    if (range.least == range.most) {
+      unvaried_.push_back(range);
+    } else {
+      varied_.push_back(range);
+      names.push_back(NameOf(term));
+    }
+  }
+  std::vector<Sample> samples;
+  for (const Record* record : held) samples.push_back({Point(record->size), record->figures.at(figure)});
+  auto fit = LeastSquares(names, samples);
+  if (auto* wrong = std::get_if<std::string>(&fit)) {
+    refused_ = std::move(*wrong);
+  } else {
+    fit_ = std::get<Fit>(std::move(fit));
+  }
+}
+
+std::vector<double> Slopes::Point(const Size& size) const {
+  std::vector<double> point = {1};
+  for (const Range& range : varied_) point.push_back(ValueOf(range.term, size));
+  return point;
+}
+
+Cell Slopes::At(const Size& size) const {
+  if (!fit_) return {};
+  const std::vector<double> point = Point(size);
+  Cell cell{How::kMeasured, fit_->At(point), fit_->ErrorAt(point), false};
+  for (const std::vector<Range>& ranges : {varied_, unvaried_}) {
+    for (const Range& range : ranges) {
+      const double value = ValueOf(range.term, size);
+      if (range.term == Term::kChanges && value < kHardlyAny && range.least == 0) continue;
+      if (value > range.most * (1 + kSlack) || value < range.least * (1 - kSlack)) cell.how = How::kWorkedOut;
+    }
+  }
+  for (const Range& range : unvaried_) {
+    if (range.term == Term::kChanges && ValueOf(range.term, size) < kHardlyAny) continue;
+    if (ValueOf(range.term, size) > range.most * (1 + kSlack)) cell.at_least = true;
+  }
+  return cell;
+}
+
+std::optional<double> Slopes::SlopeOf(Term term) const {
+  if (!fit_) return std::nullopt;
+  for (std::size_t i = 0; i < varied_.size(); ++i) {
+    if (varied_[i].term == term) return fit_->slopes[i + 1];
+  }
+  return std::nullopt;
+}
+
+Model::Model(std::vector<Record> records) : records_(std::move(records)) {
+  Builder build(records_);
+  AddPooler(build, records_);
+  AddControlMachines(build);
+  AddDiscovery(build);
+  AddDatabase(build);
+  AddCommand(build);
+  rows_ = std::move(build.rows);
+}
+
+Size SizeIn(const Target& target, Column column) {
+  Size size;
+  size.poolers = target.poolers;
+  size.databases = target.databases;
+  size.clients = target.clients;
+  size.statements_per_s = target.statements_per_s;
+  size.writes_share = target.writes_percent.assumed / 100;
+  size.roam_share = target.roaming_percent.assumed / 100;
+  size.changes_per_s = ListChanges(target);
+  switch (column) {
+    case Column::kOrdinary:
+      break;
+    case Column::kWorstOrdinary:
+      size.statements_per_s *= target.busiest_second_ratio.assumed;
+      // Each that is replaced goes and comes; one machine fails; one primary gives up its part to another.
+      size.changes_per_s = 2 * target.restarts_at_once.assumed + 1 + 2;
+      break;
+    case Column::kZoneGone: {
+      const double left = 1 - 1 / target.zones;
+      size.changes_per_s = size.databases / target.zones;
+      size.poolers *= left;
+      size.databases *= left;
+      break;
+    }
+    case Column::kRegionsCut: {
+      const double part = 1 / target.regions;
+      size.poolers *= part;
+      size.databases *= part;
+      size.clients *= part;
+      size.statements_per_s *= part;
+      break;
+    }
+  }
+  return size;
+}
+
+Target Grown(const Target& target, double poolers) {
+  const double by = poolers / target.poolers;
+  Target grown = target;
+  grown.poolers = poolers;
+  grown.databases *= by;
+  grown.clients *= by;
+  grown.statements_per_s *= by;
+  grown.machine_failures_per_day *= by;
+  grown.restarts_per_day *= by;
+  grown.primary_changes_per_day *= by;
+  return grown;
+}
+
+std::optional<double> LeavesAt(const Row& row, const Target& target, Column column) {
+  if (!row.budget || row.at(target, column).how == How::kNotMeasured) return std::nullopt;
+  // Rows need not rise steadily, so each number is tried.
+  for (double poolers = 2; poolers <= target.poolers * kMostGrowth; ++poolers) {
+    const Target grown = Grown(target, poolers);
+    if (row.at(grown, column).value > row.budget(grown)) return poolers;
+  }
+  return 0;
+}
+
+std::array<Cell, 3> Sensitivity(const Row& row, const Target& target, const AssumptionField& field) {
+  std::array<Cell, 3> cells;
+  const Assumption& all = target.*field.value;
+  const std::array values = {all.low, all.assumed, all.high};
+  for (std::size_t i = 0; i < values.size(); ++i) {
+    Target changed = target;
+    (changed.*field.value).assumed = values[i];
+    for (const Column column : kColumns) {
+      const Cell cell = row.at(changed, column);
+      if (cell.how == How::kNotMeasured) continue;
+      if (cells[i].how == How::kNotMeasured || cell.value > cells[i].value) cells[i] = cell;
+    }
+  }
+  return cells;
+}
+
+}  // namespace lynxgrade::capacity
--- /dev/null
+++ b/src/capacity/page.cpp
@@ -0,0 +1,419 @@
+#include "capacity/page.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <set>
+
+namespace lynxgrade::capacity {
+namespace {
+
+constexpr double kCurvesTo = 8;      // times the target's poolers
+constexpr double kSeen = 0.01;       // the part of a figure by which an assumption moves it, to be shown
+constexpr double kCurveStep = 1.25;  // from one point to the next: smooth on a logarithmic scale
+
+std::string Grouped(const std::string& digits) {
+  std::string text;
+  for (std::size_t i = 0; i < digits.size(); ++i) {
+    if (i > 0 && (digits.size() - i) % 3 == 0) text += ',';
+    text += digits[i];
+  }
+  return text;
+}
+
+std::string CellText(const Cell& cell) {
+  if (cell.how == How::kNotMeasured) return "*not measured*";
+  std::string text = cell.at_least ? "≥ " : "";
+  text += Figure(cell.value);
+  if (cell.error > 0) text += " ± " + Figure(cell.error);
+  return text + (cell.how == How::kMeasured ? " **m**" : " **w**");
+}
+
+std::string TargetText(const Target& target) {
+  return Figure(target.poolers) + " poolers, " + Figure(target.databases) + " databases, " +
+         Figure(target.clients) + " clients, " + Figure(target.statements_per_s) + " statements a second, " +
+         Figure(target.regions) + " regions with " + Figure(target.zones) +
+         " zones. For control a pooler may spend " + Figure(target.cpu_percent) + " % of a core, " +
+         Figure(target.memory_mb) + " MB and " + Figure(target.bytes_per_s) + " bytes a second; " +
+         Figure(target.control_machines) + " machines are set aside for it.";
+}
+
+struct Wrong {
+  std::string what;
+};
+
+// Puts the parts where the words name them; each has to be named once.
+std::variant<std::string, Wrong> Fill(const std::string& words,
+                                      const std::map<std::string, std::string>& parts) {
+  std::string text;
+  std::set<std::string> used;
+  std::size_t at = 0;
+  for (;;) {
+    const std::size_t open = words.find("{{", at);
+    text += words.substr(at, open == std::string::npos ? open : open - at);
+    if (open == std::string::npos) break;
+    const std::size_t close = words.find("}}", open);
+    if (close == std::string::npos) return Wrong{"a part's name does not end: " + words.substr(open, 20)};
+    const std::string name = words.substr(open + 2, close - open - 2);
+    const auto part = parts.find(name);
+    if (part == parts.end()) return Wrong{"'{{" + name + "}}' is not known"};
+    if (!used.insert(name).second) return Wrong{"'{{" + name + "}}' stands there twice"};
+    text += part->second.substr(0, part->second.find_last_not_of('\n') + 1);
+    at = close + 2;
+  }
+  for (const auto& [name, part] : parts) {
+    if (!used.contains(name)) return Wrong{"'{{" + name + "}}' is missing"};
+  }
+  return text;
+}
+
+std::string Bare(std::string text) {
+  std::erase_if(text, [](char c) { return c == '*' || c == '`' || c == '"'; });
+  return text;
+}
+
+std::string Verdict(const Cell& cell, double budget) {
+  if (cell.how == How::kNotMeasured) return "open";
+  if (cell.value > budget) return "**over**, " + Figure(cell.value / budget) + " times";
+  if (cell.at_least) return "open: a part is not measured";
+  return "within, " + Figure(std::floor(100 * (1 - cell.value / budget))) + " % left";
+}
+
+// Of the ordinary and the worst ordinary second the one that weighs more.
+Cell Heavier(const Row& row, const Target& target) {
+  const Cell one = row.at(target, Column::kOrdinary), other = row.at(target, Column::kWorstOrdinary);
+  if (other.how == How::kNotMeasured || (one.how != How::kNotMeasured && one.value > other.value)) return one;
+  return other;
+}
+
+std::string SlopeText(const Row& row) {
+  const Slopes& slopes = *row.slopes;
+  if (!slopes.fit()) return "none: " + slopes.refused();
+  std::string text;
+  const Fit& fit = *slopes.fit();
+  for (std::size_t i = 0; i < fit.slopes.size(); ++i) {
+    const double value = fit.slopes[i] * row.scale, error = fit.errors[i] * row.scale;
+    if (i == 0) {
+      text = (value < 0 ? "-" : "") + Figure(std::abs(value)) + " (± " + Figure(error) + ")";
+    } else {
+      text += (value < 0 ? " - " : " + ") + Figure(std::abs(value)) + " (± " + Figure(error) + ") x " +
+              NameOf(slopes.varied()[i - 1].term);
+    }
+  }
+  return text;
+}
+
+std::string RangeText(const Row& row) {
+  const Slopes& slopes = *row.slopes;
+  std::string text;
+  for (const Slopes::Range& range : slopes.varied()) {
+    text += (text.empty() ? "" : "; ") + std::string(NameOf(range.term)) + " " + Figure(range.least) +
+            " to " + Figure(range.most);
+  }
+  for (const Slopes::Range& range : slopes.unvaried()) {
+    text += (text.empty() ? "" : "; ") + std::string(NameOf(range.term)) + " " + Figure(range.most) +
+            " throughout";
+  }
+  return text.empty() ? "-" : text;
+}
+
+// How far the target's size in the worst ordinary second lies beyond the records.
+std::string BeyondText(const Row& row, const Target& target) {
+  const Slopes& slopes = *row.slopes;
+  if (!slopes.fit()) return "-";
+  const Size size = SizeIn(target, Column::kWorstOrdinary);
+  std::string text;
+  for (const auto& ranges : {slopes.varied(), slopes.unvaried()}) {
+    for (const Slopes::Range& range : ranges) {
+      const double value = ValueOf(range.term, size);
+      if (value <= range.most * 1.05) continue;
+      text += (text.empty() ? "" : "; ") + std::string(NameOf(range.term)) + " " +
+              (range.most > 0 ? Figure(value / range.most) + " times" : "never played");
+    }
+  }
+  return text.empty() ? "within" : text;
+}
+
+std::string RoleTables(const Target& target, const Model& model, Role role) {
+  std::string loads =
+      "| part | what | ordinary second | worst ordinary second | zone gone | regions cut | budget or limit | "
+      "verdict on the first two | carried by |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+  std::string slopes;
+  std::string sums;
+  for (const Row& row : model.rows()) {
+    if (row.role != role) continue;
+    loads += "| " + row.group + " | " + row.name;
+    for (const Column column : kColumns) loads += " | " + CellText(row.at(target, column));
+    const bool bounded = static_cast<bool>(row.budget);
+    loads += " | " + (bounded ? Figure(row.budget(target)) : "-") + " | " +
+             (bounded ? Verdict(Heavier(row, target), row.budget(target)) : "-") + " | " + row.mechanism +
+             " |\n";
+    if (row.slopes) {
+      slopes += "| " + row.name + " | " + SlopeText(row) + " | " +
+                (row.slopes->fit() ? Figure(row.slopes->fit()->residual * row.scale) : "-") + " | " +
+                RangeText(row) + " | " + BeyondText(row, target) + " |\n";
+    }
+    if (!row.note.empty()) sums += "- " + row.name + ": " + row.note + ".\n";
+  }
+  std::string text = loads;
+  if (!slopes.empty()) {
+    text +=
+        "\nSlopes, each with its standard error:\n\n| what | slope | scatter left | records' range | the "
+        "worst "
+        "ordinary second lies beyond it by |\n| --- | --- | --- | --- | --- |\n" +
+        slopes;
+  }
+  if (!sums.empty()) text += "\nArithmetic:\n\n" + sums;
+  return text;
+}
+
+std::string LoadTable(const Target& target) {
+  std::string text =
+      "| | ordinary second | worst ordinary second | zone gone | regions cut |\n"
+      "| --- | --- | --- | --- | --- |\n";
+  const auto line = [&](const char* name, auto value) {
+    text += std::string("| ") + name;
+    for (const Column column : kColumns) text += " | " + Figure(value(SizeIn(target, column)));
+    text += " |\n";
+  };
+  line("poolers in reach", [](const Size& size) { return size.poolers; });
+  line("databases in reach", [](const Size& size) { return size.databases; });
+  line("clients", [](const Size& size) { return size.clients; });
+  line("clients of one pooler", [](const Size& size) { return ValueOf(Term::kClients, size); });
+  line("statements a second", [](const Size& size) { return size.statements_per_s; });
+  line("statements a second of one pooler",
+       [](const Size& size) { return ValueOf(Term::kStatements, size); });
+  line("writes a second", [](const Size& size) { return ValueOf(Term::kFleetWrites, size); });
+  line("writes a second of one pooler", [](const Size& size) { return ValueOf(Term::kWrites, size); });
+  line("roaming statements a second of one pooler",
+       [](const Size& size) { return ValueOf(Term::kRoaming, size); });
+  line("changes of the list a second", [](const Size& size) { return size.changes_per_s; });
+  return text;
+}
+
+std::string LeavesText(const std::optional<double>& at, const Target& target) {
+  if (!at) return "*not measured*";
+  if (*at == 0) return "not up to " + Figure(Grown(target, target.poolers * 8).poolers);
+  if (*at <= 2) return "any size";
+  return Figure(*at);
+}
+
+std::string FailTable(const Target& target, const Model& model) {
+  struct Line {
+    double first;
+    std::string text;
+  };
+  std::vector<Line> lines;
+  std::string open;
+  for (const Row& row : model.rows()) {
+    if (!row.budget) continue;
+    std::array<std::optional<double>, 4> at;
+    for (std::size_t i = 0; i < kColumns.size(); ++i) at[i] = LeavesAt(row, target, kColumns[i]);
+    if (!at[0] && !at[1]) {
+      open += "- " + row.name + (row.slopes && !row.slopes->fit() ? ": " + row.slopes->refused() : "") + "\n";
+      continue;
+    }
+    double first = INFINITY;
+    for (const auto& one : {at[0], at[1]}) {
+      if (one && *one > 0) first = std::min(first, *one);
+    }
+    std::string text = " | " + row.name;
+    for (const auto& one : at) text += " | " + LeavesText(one, target);
+    text += " | " + row.mechanism + " | " + row.issue + " |\n";
+    lines.push_back({first, text});
+  }
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const Line& a, const Line& b) { return a.first < b.first; });
+  std::string text =
+      "| at the target | what | ordinary second | worst ordinary second | zone gone | regions cut | "
+      "carried by | issue |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n";
+  for (const Line& line : lines)
+    text += (line.first <= target.poolers ? "| **fails**" : "| holds") + line.text;
+  if (!open.empty())
+    text += "\nBudgeted, but not measured, so their place in this order is not known:\n\n" + open;
+  return text;
+}
+
+std::string AssumptionTable(const Target& target) {
+  std::string text =
+      "| assumed | unit | low | assumed | high | why |\n| --- | --- | --- | --- | --- | --- |\n";
+  for (const AssumptionField& field : AssumptionFields()) {
+    const Assumption& all = target.*field.value;
+    text += std::string("| ") + field.key + " | " + field.unit + " | " + Figure(all.low) + " | " +
+            Figure(all.assumed) + " | " + Figure(all.high) + " | " + all.why + " |\n";
+  }
+  return text;
+}
+
+std::string SensitivityTable(const Target& target, const Model& model) {
+  std::string text =
+      "| assumed | row | low | assumed | high | budget or limit |\n| --- | --- | --- | --- | --- | --- |\n";
+  for (const AssumptionField& field : AssumptionFields()) {
+    const Assumption& all = target.*field.value;
+    Target low = target, high = target;
+    (low.*field.value).assumed = all.low;
+    (high.*field.value).assumed = all.high;
+    std::string bounded, others;
+    for (const Row& row : model.rows()) {
+      const auto cells = Sensitivity(row, target, field);
+      if (cells[1].how == How::kNotMeasured) continue;
+      const bool budget_moves = row.budget && row.budget(low) != row.budget(high);
+      const double span = std::abs(cells[2].value - cells[0].value);
+      if (!budget_moves && span <= kSeen * std::abs(cells[1].value)) continue;
+      std::string line = std::string("| ") + field.key + " | " + row.name;
+      for (const Cell& cell : cells) {
+        line += " | " + std::string(cell.at_least ? "≥ " : "") + Figure(cell.value);
+      }
+      std::string budget = row.budget ? Figure(row.budget(target)) : "-";
+      if (budget_moves) budget = Figure(row.budget(low)) + ", " + budget + ", " + Figure(row.budget(high));
+      (row.budget ? bounded : others) += line + " | " + budget + " |\n";
+    }
+    if (bounded.empty() && others.empty()) {
+      others = std::string("| ") + field.key + " | none that is measured | - | - | - | - |\n";
+    }
+    text += bounded.empty() ? others : bounded;
+  }
+  return text;
+}
+
+std::string PlayedTable(const Model& model) {
+  struct Played {
+    std::size_t records = 0;
+    std::array<double, 2> poolers{INFINITY, 0}, databases{INFINITY, 0}, statements{INFINITY, 0};
+    double seconds = 0;
+    std::set<std::string> commits;
+  };
+  std::map<std::pair<std::string, std::string>, Played> all;
+  const auto widen = [](std::array<double, 2>& range, double value) {
+    range = {std::min(range[0], value), std::max(range[1], value)};
+  };
+  for (const Record& record : model.records()) {
+    Played& played = all[{record.script, record.marks}];
+    ++played.records;
+    widen(played.poolers, record.size.poolers);
+    widen(played.databases, record.size.databases);
+    widen(played.statements, record.size.statements_per_s);
+    played.seconds += record.seconds;
+    played.commits.insert(record.commit.substr(0, 10));
+  }
+  if (all.empty()) return "Nothing yet.\n";
+  std::string text =
+      "| script | marks | records | poolers | databases | statements a second | seconds | commits |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- |\n";
+  const auto shown = [](const std::array<double, 2>& range) {
+    return range[0] == range[1] ? Figure(range[0]) : Figure(range[0]) + " to " + Figure(range[1]);
+  };
+  for (const auto& [key, played] : all) {
+    std::string commits;
+    for (const std::string& commit : played.commits) commits += (commits.empty() ? "" : ", ") + commit;
+    text += "| " + key.first + " | " + (key.second.empty() ? "-" : key.second) + " | " +
+            std::to_string(played.records) + " | " + shown(played.poolers) + " | " + shown(played.databases) +
+            " | " + shown(played.statements) + " | " + Figure(played.seconds) + " | " + commits + " |\n";
+  }
+  return text;
+}
+
+std::string Short(const Target& target, const Model& model) {
+  std::string over, open, within;
+  for (const Row& row : model.rows()) {
+    if (!row.budget) continue;
+    const Cell cell = Heavier(row, target);
+    const std::string line = "- " + row.name + ": " + Verdict(cell, row.budget(target)) + "\n";
+    if (cell.how != How::kNotMeasured && cell.value > row.budget(target)) {
+      over += line;
+    } else if (cell.how == How::kNotMeasured || cell.at_least) {
+      open += line;
+    } else {
+      within += line;
+    }
+  }
+  const auto part = [](const char* head, const std::string& lines) {
+    return lines.empty() ? std::string() : std::string(head) + "\n\n" + lines + "\n";
+  };
+  return part("Over a budget or a limit at the target, in the ordinary or the worst ordinary second:", over) +
+         part("Not decided, as something is not measured:", open) + part("Within:", within);
+}
+
+}  // namespace
+
+std::string Figure(double value) {
+  if (value < 0) return "-" + Figure(-value);
+  if (!std::isfinite(value)) return "beyond all bounds";
+  if (value == 0) return "0";
+  const int digits = static_cast<int>(std::floor(std::log10(value))) + 1;
+  if (digits >= 4) {
+    const double unit = std::pow(10, digits - 4);
+    char text[64];
+    std::snprintf(text, sizeof text, "%.0f", std::round(value / unit) * unit);
+    return Grouped(text);
+  }
+  char text[64];
+  std::snprintf(text, sizeof text, value >= 0.001 ? "%.3g" : "%.2g", value);
+  return text;
+}
+
+std::variant<Page, std::string> Render(const Target& target, const Model& model, const std::string& words,
+                                       const PageNames& names) {
+  Page page;
+  const std::map<std::string, std::string> parts = {
+      {"target file", names.target},
+      {"target", TargetText(target)},
+      {"short", Short(target, model)},
+      {"day", "A day has " + Figure(target.machine_failures_per_day) + " machines that fail, " +
+                  Figure(target.restarts_per_day) + " restarts or replacements, " +
+                  Figure(target.configuration_changes_per_day) + " changes of configuration and " +
+                  Figure(target.primary_changes_per_day) + " of primary."},
+      {"cut", Figure(target.region_cut_s)},
+      {"loads", LoadTable(target)},
+      {"pooler", RoleTables(target, model, Role::kPooler)},
+      {"control machines", RoleTables(target, model, Role::kControlMachines)},
+      {"discovery", RoleTables(target, model, Role::kDiscovery)},
+      {"database", RoleTables(target, model, Role::kDatabase)},
+      {"command", RoleTables(target, model, Role::kCommand)},
+      {"failures", FailTable(target, model)},
+      {"plot", "![parts of their budgets over the number of poolers](" + names.plot_link + "/curves.svg)"},
+      {"assumptions", AssumptionTable(target)},
+      {"sensitivities", SensitivityTable(target, model)},
+      {"played", PlayedTable(model)},
+  };
+  auto text = Fill(words, parts);
+  if (auto* wrong = std::get_if<Wrong>(&text)) return std::move(wrong->what);
+  page.text = std::get<std::string>(std::move(text));
+
+  page.data =
+      "# written by lynxgrade-lab capacity; blocks in the order of curves.gp\n"
+      "# poolers, then parts of the budget: ordinary second, worst ordinary second\n";
+  const std::string target_at = std::to_string(std::lround(target.poolers));
+  const double most = target.poolers * kCurvesTo;
+  page.plot = "# gnuplot " + names.plot +
+              "/curves.gp, from the project's root; written by lynxgrade-lab capacity.\n" +
+              "set terminal svg size 1000,600 font \"sans,11\" background \"white\" noenhanced\n" +
+              "set output \"" + names.plot + "/curves.svg\"\n" + "set logscale xy\n" +
+              "set xlabel \"poolers; databases, clients and statements grow in step\"\n" +
+              "set ylabel \"parts of the budget, worst ordinary second\"\n" +
+              "set key outside bottom center\n" + "set grid\n" +
+              "set xrange [5:" + std::to_string(std::lround(most)) + "]\n" + "set yrange [0.001:1000]\n" +
+              "set arrow from " + target_at + ",0.001 to " + target_at + ",1000 nohead dashtype 3\n" +
+              "plot 1 with lines linewidth 2 linecolor \"black\" title \"the budget; dotted: the target\"";
+  int block = 0;
+  for (const Row& row : model.rows()) {
+    if (!row.budget || row.at(target, Column::kWorstOrdinary).how == How::kNotMeasured) continue;
+    if (block > 0) page.data += "\n\n";
+    page.data += "# " + Bare(row.name) + "\n";
+    for (double poolers = 5; poolers < most * kCurveStep; poolers *= kCurveStep) {
+      const Target grown = Grown(target, std::round(std::min(poolers, most)));
+      char line[96];
+      std::snprintf(line, sizeof line, "%.0f %.4g %.4g\n", grown.poolers,
+                    row.at(grown, Column::kOrdinary).value / row.budget(grown),
+                    row.at(grown, Column::kWorstOrdinary).value / row.budget(grown));
+      page.data += line;
+    }
+    page.plot += ", \\\n  \"" + names.plot + "/curves.dat\" index " + std::to_string(block) +
+                 " using 1:3 with lines title \"" + Bare(row.name) + "\"";
+    ++block;
+  }
+  page.plot += "\n";
+  return page;
+}
+
+}  // namespace lynxgrade::capacity
--- /dev/null
+++ b/src/capacity/target.cpp
@@ -0,0 +1,160 @@
+#include "capacity/target.h"
+
+#include <toml++/toml.h>
+
+#include <cmath>
+#include <cstdio>
+#include <set>
+#include <stdexcept>
+
+namespace lynxgrade::capacity {
+namespace {
+
+std::string Plain(double value) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.15g", value);
+  return text;
+}
+
+std::string Where(const toml::source_region& source) {
+  return "line " + std::to_string(source.begin.line) + ", column " + std::to_string(source.begin.column);
+}
+
+[[noreturn]] void Wrong(const toml::source_region& source, const std::string& what) {
+  throw std::runtime_error(Where(source) + ": " + what);
+}
+
+const toml::table& TableIn(const toml::table& parent, const std::string& name, const std::string& key) {
+  const toml::node* node = parent.get(key);
+  if (node == nullptr) Wrong(parent.source(), "'" + name + "' is missing");
+  if (!node->is_table()) Wrong(node->source(), "'" + name + "' is not a table");
+  return *node->as_table();
+}
+
+void RefuseOthers(const toml::table& table, const std::string& name, const std::set<std::string>& known) {
+  for (const auto& [key, node] : table) {
+    const std::string own(key.str());
+    if (!known.contains(own)) Wrong(key.source(), "'" + name + own + "' is not known");
+  }
+}
+
+double NumberIn(const toml::table& table, const std::string& name, const char* key, double least, double most,
+                bool whole) {
+  const std::string named = "'" + name + "." + key + "'";
+  const toml::node* node = table.get(key);
+  if (node == nullptr) Wrong(table.source(), named + " is missing");
+  if (whole ? !node->is_integer() : !node->is_number()) {
+    Wrong(node->source(), named + (whole ? " is not a whole number" : " is not a number"));
+  }
+  const double value = node->value<double>().value();
+  // Written so that 'nan' is outside.
+  if (!(value >= least && value <= most)) {
+    Wrong(node->source(), named + " lies outside " + Plain(least) + " to " + Plain(most));
+  }
+  return value;
+}
+
+Assumption AssumptionIn(const toml::table& assumed, const AssumptionField& field) {
+  const std::string name = std::string("assumed.") + field.key;
+  const toml::table& table = TableIn(assumed, name, field.key);
+  RefuseOthers(table, name + ".", {"low", "assumed", "high", "why"});
+  Assumption read;
+  read.low = NumberIn(table, name, "low", field.least, field.most, false);
+  read.assumed = NumberIn(table, name, "assumed", field.least, field.most, false);
+  read.high = NumberIn(table, name, "high", field.least, field.most, false);
+  if (read.low > read.assumed || read.assumed > read.high) {
+    Wrong(table.source(), "'" + name + "': low, assumed and high do not ascend");
+  }
+  const toml::node* why = table.get("why");
+  if (why == nullptr) Wrong(table.source(), "'" + name + ".why' is missing: an assumption has a reason");
+  if (!why->is_string() || why->as_string()->get().empty()) {
+    Wrong(why->source(), "'" + name + ".why' is not a text");
+  }
+  read.why = why->as_string()->get();
+  return read;
+}
+
+}  // namespace
+
+const std::vector<NumberField>& NumberFields() {
+  // Bounds keep what is surely a slip of the pen out; none is a limit of the program.
+  static const std::vector<NumberField> fields = {
+      {"fleet", "poolers", &Target::poolers, 2, 100'000, true},
+      {"fleet", "databases", &Target::databases, 1, 100'000, true},
+      {"fleet", "clients", &Target::clients, 0, 1e9, true},
+      {"fleet", "statements_per_s", &Target::statements_per_s, 0, 1e9, true},
+      {"fleet", "regions", &Target::regions, 1, 100, true},
+      {"fleet", "zones", &Target::zones, 2, 1'000, true},
+      {"fleet", "control_machines", &Target::control_machines, 1, 1'000, true},
+      {"events", "primary_changes_per_day", &Target::primary_changes_per_day, 0, 1e6, false},
+      {"events", "primary_change_within_s", &Target::primary_change_within_s, 0.001, 86'400, false},
+      {"events", "configuration_changes_per_day", &Target::configuration_changes_per_day, 0, 1e6, false},
+      {"events", "configuration_within_s", &Target::configuration_within_s, 0.001, 86'400, false},
+      {"events", "machine_failures_per_day", &Target::machine_failures_per_day, 0, 1e6, false},
+      {"events", "restarts_per_day", &Target::restarts_per_day, 0, 1e6, false},
+      {"events", "rack_failures_per_year", &Target::rack_failures_per_year, 0, 1e6, false},
+      {"events", "zone_failures_per_year", &Target::zone_failures_per_year, 0, 1e6, false},
+      {"events", "region_cuts_per_year", &Target::region_cuts_per_year, 0, 1e6, false},
+      {"events", "region_cut_s", &Target::region_cut_s, 0, 86'400, false},
+      {"budget", "cpu_percent", &Target::cpu_percent, 0.001, 100'000, false},
+      {"budget", "memory_mb", &Target::memory_mb, 0.1, 1e7, false},
+      {"budget", "bytes_per_s", &Target::bytes_per_s, 1, 1e12, false},
+  };
+  return fields;
+}
+
+const std::vector<AssumptionField>& AssumptionFields() {
+  static const std::vector<AssumptionField> fields = {
+      {"busiest_second_ratio", &Target::busiest_second_ratio, 1, 1'000, "times an ordinary second"},
+      {"writes_percent", &Target::writes_percent, 0, 100, "% of statements"},
+      {"roaming_percent", &Target::roaming_percent, 0, 100, "% of statements"},
+      {"statement_bytes", &Target::statement_bytes, 1, 1e9, "bytes"},
+      {"region_round_trip_ms", &Target::region_round_trip_ms, 0, 10'000, "ms"},
+      {"restarts_at_once", &Target::restarts_at_once, 0, 100'000, "in one second"},
+      {"clients_again_s", &Target::clients_again_s, 0.001, 86'400, "s"},
+      {"catch_up_s", &Target::catch_up_s, 0.001, 86'400, "s"},
+      {"configuration_bytes", &Target::configuration_bytes, 1, 1e9, "bytes"},
+      {"database_connections", &Target::database_connections, 1, 1e6, "connections"},
+  };
+  return fields;
+}
+
+std::variant<Target, std::string> ReadTarget(std::string_view text) {
+  try {
+    const toml::table root = toml::parse(text);
+    std::set<std::string> tables = {"assumed"};
+    for (const NumberField& field : NumberFields()) tables.insert(field.table);
+    RefuseOthers(root, "", tables);
+    Target target;
+    for (const std::string& name : tables) {
+      std::set<std::string> known;
+      const toml::table& table = TableIn(root, name, name);
+      for (const NumberField& field : NumberFields()) {
+        if (name == field.table) known.insert(field.key);
+      }
+      if (name == "assumed") {
+        for (const AssumptionField& field : AssumptionFields()) known.insert(field.key);
+      }
+      RefuseOthers(table, name + ".", known);
+    }
+    for (const NumberField& field : NumberFields()) {
+      const toml::table& table = TableIn(root, field.table, field.table);
+      target.*field.value = NumberIn(table, field.table, field.key, field.least, field.most, field.whole);
+    }
+    const toml::table& assumed = TableIn(root, "assumed", "assumed");
+    for (const AssumptionField& field : AssumptionFields()) {
+      target.*field.value = AssumptionIn(assumed, field);
+    }
+    if (target.zones < target.regions) {
+      Wrong(root.get("fleet")->as_table()->get("zones")->source(),
+            "'fleet.zones' is smaller than 'fleet.regions': each region has a zone at least");
+    }
+    return target;
+  } catch (const toml::parse_error& error) {
+    return Where(error.source()) + ": " + std::string(error.description());
+  } catch (const std::runtime_error& error) {
+    return std::string(error.what());
+  }
+}
+
+}  // namespace lynxgrade::capacity
--- /dev/null
+++ b/tests/capacity_test.cpp
@@ -0,0 +1,431 @@
+// The page on capacity: that target files and records are checked, that slopes are found where the records
+// show them and refused where they do not, that nothing which nobody measured passes for a figure, and that
+// docs/CAPACITY.md is what its command writes.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <sys/wait.h>
+
+#include <cmath>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <string>
+
+#include "capacity/files.h"
+#include "capacity/fit.h"
+#include "capacity/model.h"
+#include "capacity/page.h"
+
+namespace lynxgrade::capacity {
+namespace {
+
+const std::string kRoot = ROOT;
+const std::string kTargetFile = "deploy/targets/two-years.toml";
+
+std::string Whole(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+Target Committed() {
+  const auto target = LoadTarget(kRoot + "/" + kTargetFile);
+  REQUIRE_MESSAGE(std::holds_alternative<Target>(target), std::get<std::string>(target));
+  return std::get<Target>(target);
+}
+
+std::string Words() { return Whole(kRoot + "/docs/capacity/page.md.in"); }
+
+// The committed target with one piece replaced; what reading it then says.
+std::string Changed(const std::string& from, const std::string& to) {
+  std::string text = Whole(kRoot + "/" + kTargetFile);
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  text.replace(at, from.size(), to);
+  const auto target = ReadTarget(text);
+  return std::holds_alternative<std::string>(target) ? std::get<std::string>(target) : "";
+}
+
+// A record of the given size whose figures follow known slopes.
+Record Played(double poolers, double writes_per_s, double changes = 0) {
+  Record record;
+  record.size.poolers = poolers;
+  record.size.databases = 730;
+  record.size.statements_per_s = writes_per_s * 20;
+  record.size.writes_share = writes_per_s > 0 ? 0.05 : 0;
+  record.size.changes_per_s = changes;
+  record.script = writes_per_s > 0 ? "load" : "quiet";
+  record.marks = "each";
+  record.figures = {{"membership_bytes_out_per_s", 600 + 5 * poolers + 3 * changes},
+                    {"membership_bytes_in_per_s", 600 + 5 * poolers + 3 * changes},
+                    {"marks_bytes_out_per_s", 100 + 200 * poolers + 30 * writes_per_s},
+                    {"marks_bytes_in_per_s", 100 + 200 * poolers + 30 * writes_per_s},
+                    {"discovery_bytes_in_per_s", 12 + 40 * changes},
+                    {"cpu_share", 0.001 + 0.0001 * poolers + 0.000001 * writes_per_s},
+                    {"memory_mb", 10 + 0.02 * poolers}};
+  return record;
+}
+
+std::vector<Record> Fleet() {
+  std::vector<Record> records;
+  for (const double poolers : {20.0, 50.0, 100.0, 205.0, 410.0, 820.0}) {
+    for (const double writes : {0.0, 10.0, 1'000.0, 21'000.0, 32'000.0}) {
+      records.push_back(Played(poolers, writes, records.size() % 2 == 0 ? 0 : 15));
+    }
+  }
+  return records;
+}
+
+const Row& RowOf(const Model& model, const std::string& name) {
+  for (const Row& row : model.rows()) {
+    if (row.name.find(name) != std::string::npos) return row;
+  }
+  FAIL("no row " << name);
+  std::abort();
+}
+
+bool Near(double a, double b, double part = 1e-6) {
+  return std::abs(a - b) <= part * std::max(1.0, std::abs(b));
+}
+
+std::string TextOf(const Target& target, const Model& model) {
+  const auto page = Render(target, model, Words(), {kTargetFile, "docs/capacity", "capacity"});
+  REQUIRE_MESSAGE(std::holds_alternative<Page>(page), std::get<std::string>(page));
+  return std::get<Page>(page).text;
+}
+
+TEST_CASE("target: the committed file says what issue 38 asks") {
+  const Target target = Committed();
+  CHECK(target.poolers == 410);
+  CHECK(target.databases == 730);
+  CHECK(target.clients == 890'000);
+  CHECK(target.statements_per_s == 420'000);
+  CHECK(target.regions == 2);
+  CHECK(target.zones == 7);
+  CHECK(target.control_machines == 7);
+  CHECK(target.primary_changes_per_day == 2);
+  CHECK(target.primary_change_within_s == 5);
+  CHECK(target.configuration_changes_per_day == 290);
+  CHECK(target.configuration_within_s == 7);
+  CHECK(target.machine_failures_per_day == 7);
+  CHECK(target.restarts_per_day == 86);
+  CHECK(target.region_cut_s == 300);
+  CHECK(target.cpu_percent == 2.4);
+  CHECK(target.memory_mb == 256);
+  CHECK(target.bytes_per_s == 12'000);
+}
+
+TEST_CASE("target: a file that cannot be used is one sentence with line and column") {
+  const auto says = [](const std::string& from, const std::string& to, const std::string& what) {
+    const std::string sentence = Changed(from, to);
+    CAPTURE(sentence);
+    CHECK(sentence.starts_with("line "));
+    CHECK(sentence.find(", column ") != std::string::npos);
+    CHECK(sentence.find(what) != std::string::npos);
+    CHECK(sentence.find('\n') == std::string::npos);
+  };
+  says("poolers = 410", "poolers = \"410\"", "'fleet.poolers' is not a whole number");
+  says("poolers = 410", "poolers = 410.5", "'fleet.poolers' is not a whole number");
+  says("poolers = 410", "poolers = 1", "'fleet.poolers' lies outside 2 to 100000");
+  says("poolers = 410", "pooler = 410", "'fleet.pooler' is not known");
+  says("databases = 730", "", "'fleet.databases' is missing");
+  says("zones = 7 ", "zones = 1 ", "lies outside");
+  says("regions = 2", "regions = 9", "'fleet.zones' is smaller than 'fleet.regions'");
+  says("cpu_percent = 2.4", "cpu_percent = nan", "'budget.cpu_percent' lies outside");
+  says("memory_mb = 256", "memory_mb = true", "'budget.memory_mb' is not a number");
+  says("[budget]", "[budgets]", "'budgets' is not known");
+  says("[budget]", "[other]", "'other' is not known");
+  says("high = 3\n", "high = 1.2\n", "low, assumed and high do not ascend");
+  says("high = 3\n", "highest = 3\n", "'assumed.busiest_second_ratio.highest' is not known");
+  says("[assumed.writes_percent]", "[assumed.writes]", "'assumed.writes' is not known");
+  says("high = 20\n", "high = 200\n", "'assumed.writes_percent.high' lies outside 0 to 100");
+  says("why = \"nothing paces", "whys = \"nothing paces", "'assumed.catch_up_s.whys' is not known");
+  says("[fleet]", "[fleet", "line 4");
+  CHECK(std::get<std::string>(LoadTarget("/nowhere/x.toml")) == "the target /nowhere/x.toml cannot be read");
+}
+
+TEST_CASE("target: a file with any one line left out is refused, or was a line of comment") {
+  CHECK(rc::check("one line out", [](std::uint16_t pick) {
+    std::string text = Whole(kRoot + "/" + kTargetFile);
+    std::vector<std::string> lines;
+    for (std::size_t at = 0; at < text.size();) {
+      const std::size_t end = text.find('\n', at);
+      lines.push_back(text.substr(at, end - at + 1));
+      at = end + 1;
+    }
+    const std::size_t out = pick % lines.size();
+    const bool bare = lines[out].starts_with('#') || lines[out] == "\n";
+    text.clear();
+    for (std::size_t i = 0; i < lines.size(); ++i) text += i == out ? "" : lines[i];
+    RC_ASSERT(std::holds_alternative<Target>(ReadTarget(text)) == bare);
+  }));
+}
+
+TEST_CASE("measurements: what is no record is one sentence; unknown keys are passed over") {
+  const std::string run =
+      R"("run":{"poolers":2,"databases":3,"real":1,"script":"quiet","seed":1,"seconds":9,)"
+      R"("clients":0,"statements_per_s":0,"writes_share":0,"roam_share":0,)"
+      R"("changes_per_s":0,"marks":"each","commit":"abc","more":[1]})";
+  const auto says = [](const std::string& text) {
+    const auto read = ReadMeasurements(text);
+    return std::holds_alternative<std::string>(read) ? std::get<std::string>(read) : "";
+  };
+  const auto read =
+      ReadMeasurements("[{" + run + R"(,"figures":{"x":1.5,"y":null,"z_never_heard_of":2},"w":1}])");
+  REQUIRE(std::holds_alternative<std::vector<Record>>(read));
+  const Record& record = std::get<std::vector<Record>>(read).at(0);
+  CHECK(record.size.databases == 3);
+  CHECK(record.figures.size() == 2);
+  CHECK(says("{}") == "the measurements are not a list of records");
+  CHECK(says("[\n\n{]") == "line 3: no JSON");
+  CHECK(says("[1]") == "record 1: has no 'run'");
+  CHECK(says("[{" + run + "}]") == "record 1: has no 'figures'");
+  CHECK(says("[{" + run + R"(,"figures":{"x":"1"}}])") == "record 1: 'figures.x' is not a number");
+  const auto without = [&](const std::string& from, const std::string& to) {
+    std::string text = "[{" + run + R"(,"figures":{}}])";
+    text.replace(text.find(from), from.size(), to);
+    return says(text);
+  };
+  CHECK(without("\"poolers\":2,", "") == "record 1: 'run.poolers' is missing");
+  CHECK(without("\"poolers\":2", "\"poolers\":\"2\"") == "record 1: 'run.poolers' is not a number");
+  CHECK(without("\"writes_share\":0", "\"writes_share\":5") ==
+        "record 1: 'run.writes_share' is out of its bounds");
+  CHECK(without("\"seconds\":9", "\"seconds\":-1") == "record 1: 'run.seconds' is out of its bounds");
+}
+
+TEST_CASE("fit: known slopes are found again") {
+  CHECK(rc::check("exact", [](std::int16_t a, std::int16_t b, std::int16_t c, std::uint32_t seed) {
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> poolers(5, 820), writes(0, 30'000);
+    std::vector<Sample> samples;
+    for (int i = 0; i < 12; ++i) {
+      const double p = poolers(random), w = writes(random);
+      samples.push_back({{1, p, w}, a + b * p + c * w});
+    }
+    const auto fit = LeastSquares({"1", "poolers", "writes"}, samples);
+    RC_ASSERT(std::holds_alternative<Fit>(fit));
+    const Fit& found = std::get<Fit>(fit);
+    RC_ASSERT(std::abs(found.slopes[0] - a) < 1e-4);
+    RC_ASSERT(std::abs(found.slopes[1] - b) < 1e-6);
+    RC_ASSERT(std::abs(found.slopes[2] - c) < 1e-7);
+    RC_ASSERT(found.residual < 1e-3);
+  }));
+}
+
+TEST_CASE("fit: with noise the error told is the error made") {
+  // Over many draws the slope's miss, in its own standard errors, has to be about one.
+  std::mt19937 random(7);
+  std::normal_distribution<double> noise(0, 50);
+  double squares = 0;
+  constexpr int kDraws = 400;
+  for (int draw = 0; draw < kDraws; ++draw) {
+    std::vector<Sample> samples;
+    for (int i = 0; i < 40; ++i) {
+      const double p = 20.0 + 20.0 * i;
+      samples.push_back({{1, p}, 600 + 5 * p + noise(random)});
+    }
+    const Fit fit = std::get<Fit>(LeastSquares({"1", "poolers"}, samples));
+    squares += std::pow((fit.slopes[1] - 5) / fit.errors[1], 2);
+    CHECK(fit.ErrorAt({1, 4'000}) > fit.ErrorAt({1, 400}));  // the farther, the less is known
+  }
+  CHECK(squares / kDraws > 0.8);
+  CHECK(squares / kDraws < 1.3);
+}
+
+TEST_CASE("fit: too few records, or terms that grew together, are refused with a sentence") {
+  const auto says = [](const std::vector<std::string>& terms, const std::vector<Sample>& samples) {
+    const auto fit = LeastSquares(terms, samples);
+    return std::holds_alternative<std::string>(fit) ? std::get<std::string>(fit) : "";
+  };
+  CHECK(says({"1", "poolers"}, {{{1, 5}, 1}, {{1, 9}, 2}}) ==
+        "2 records for 2 slopes: one more than slopes is needed at least");
+  CHECK(says({"1"}, {{{1}, 1}}) == "1 record for 1 slope: one more than slopes is needed at least");
+  std::vector<Sample> together, nearly, narrow, apart;
+  for (int i = 1; i <= 10; ++i) {
+    together.push_back({{1, 10.0 * i, 17.8 * i}, 1.0 * i});
+    nearly.push_back({{1, 10.0 * i, 17.8 * i + (i % 2) * 0.1}, 1.0 * i});
+    narrow.push_back({{1, 1000.0 + i}, 1.0 * i});
+    apart.push_back({{1, 10.0 * i, 17.8 * ((i * 7) % 11)}, 1.0 * i});
+  }
+  const std::string sentence =
+      "databases cannot be told from 1 and poolers: they grew together in all 10 records";
+  CHECK(says({"1", "poolers", "databases"}, together) == sentence);
+  CHECK(says({"1", "poolers", "databases"}, nearly) == sentence);
+  CHECK(says({"1", "poolers"}, narrow) ==
+        "poolers cannot be told from 1: they grew together in all 10 records");
+  CHECK(says({"1", "poolers", "databases"}, apart).empty());
+}
+
+TEST_CASE("slopes: a term that no record varies is named and never made up") {
+  std::vector<Record> records;
+  for (const double poolers : {20.0, 50.0, 100.0, 300.0}) records.push_back(Played(poolers, 0));
+  std::vector<const Record*> all;
+  for (const Record& record : records) all.push_back(&record);
+  const std::vector<Term> terms = {Term::kOne, Term::kPoolers, Term::kFleetWrites};
+  const Slopes slopes(terms, "marks_bytes_out_per_s", all);
+  REQUIRE(slopes.fit());
+  CHECK(Near(*slopes.SlopeOf(Term::kPoolers), 200));
+  CHECK_FALSE(slopes.SlopeOf(Term::kFleetWrites));
+  REQUIRE(slopes.unvaried().size() == 1);
+  const Cell quiet = slopes.At(Played(200, 0).size);
+  CHECK(quiet.how == How::kMeasured);
+  CHECK_FALSE(quiet.at_least);
+  CHECK(slopes.At(Played(400, 0).size).how == How::kWorkedOut);
+  const Cell busy = slopes.At(Played(200, 21'000).size);
+  CHECK(busy.how == How::kWorkedOut);
+  CHECK(busy.at_least);
+  CHECK(Slopes(terms, "nobody_tells_this", all).At(records[0].size).how == How::kNotMeasured);
+}
+
+TEST_CASE("model: rows, budgets and the order of failing follow the records") {
+  const Target target = Committed();
+  const Model model(Fleet());
+  const Row& marks = RowOf(model, "marks out");
+  CHECK(Near(marks.at(target, Column::kOrdinary).value, 100 + 200 * 410 + 30 * 21'000));
+  CHECK(marks.at(target, Column::kOrdinary).how == How::kMeasured);
+  CHECK(Near(marks.at(target, Column::kWorstOrdinary).value, 100 + 200 * 410 + 30 * 31'500));
+  const Row& all = RowOf(model, "control, all kinds");
+  const Cell sum = all.at(target, Column::kOrdinary);
+  CHECK(Near(sum.value, 2 * (600 + 5 * 410 + 100 + 200 * 410 + 30 * 21'000) + 12));
+  // 2 x (700 + 205 P + 30 x 21,000 / 410 x P) + 12 > 12,000 first at 4 poolers.
+  CHECK(LeavesAt(all, target, Column::kOrdinary) == 4);
+  const Row& cpu = RowOf(model, "control, marks \"each\", % of a core");
+  CHECK(Near(cpu.at(target, Column::kOrdinary).value, 100 * (0.001 + 0.041 + 0.021)));
+  const Row& memory = RowOf(model, "control, marks \"each\", MB");
+  CHECK(Near(memory.at(target, Column::kOrdinary).value, 18.2));
+  CHECK(LeavesAt(memory, target, Column::kOrdinary) == 0);
+  // What was missed on a cut is sent again: 205 poolers across, 51.2 marks a second for 300 s, in 10 s.
+  const double again = 30.0 * 205 * (21'000.0 / 410 * 300) / 10;
+  CHECK(Near(marks.at(target, Column::kRegionsCut).value, 100 + 200 * 205 + 30 * 10'500 + again));
+  CHECK(marks.at(target, Column::kRegionsCut).at_least);
+  const std::string text = TextOf(target, model);
+  CHECK(text.find("**fails** | **control, all kinds, both ways, marks \"each\", bytes a second** | 4 |") !=
+        std::string::npos);
+  // Whichever leaves its budget at the smaller size stands first.
+  CHECK(text.find("**fails** | **control, all kinds") < text.find("**fails** | connections of poolers"));
+}
+
+TEST_CASE("model: an assumption moves what depends on it, and nothing else") {
+  const Target target = Committed();
+  const Model model(Fleet());
+  for (const AssumptionField& field : AssumptionFields()) {
+    const auto marks = Sensitivity(RowOf(model, "marks out"), target, field);
+    const std::string key = field.key;
+    const bool moves = key == "writes_percent" || key == "busiest_second_ratio" || key == "catch_up_s";
+    CAPTURE(key);
+    // The cut's column is the largest where it is caught up fast, so a busier second may not show.
+    if (key != "busiest_second_ratio") CHECK((marks[0].value != marks[2].value) == moves);
+    const auto memory = Sensitivity(RowOf(model, "control, marks \"each\", MB"), target, field);
+    CHECK(memory[0].value == memory[2].value);
+  }
+}
+
+TEST_CASE("page: what no record tells is 'not measured', never nought and never within a budget") {
+  const Target target = Committed();
+  const Model none({});
+  for (const Row& row : none.rows()) {
+    if (!row.slopes) continue;
+    for (const Column column : kColumns) CHECK(row.at(target, column).how == How::kNotMeasured);
+    CHECK_FALSE(LeavesAt(row, target, Column::kOrdinary));
+  }
+  const std::string text = TextOf(target, none);
+  CHECK(text.find("| membership out, bytes a second | *not measured* | *not measured* |") !=
+        std::string::npos);
+  CHECK(text.find("control, % of a core: open") != std::string::npos);
+
+  CHECK(rc::check("one figure out", [&](std::uint8_t pick) {
+    std::vector<Record> records = Fleet();
+    auto it = records[0].figures.begin();
+    std::advance(it, pick % records[0].figures.size());
+    const std::string gone = it->first;
+    for (Record& record : records) record.figures.erase(gone);
+    const Model model(records);
+    for (const Row& row : model.rows()) {
+      if (!row.slopes || row.slopes->refused() != "no record tells `" + gone + "`") continue;
+      RC_ASSERT(row.at(target, Column::kOrdinary).how == How::kNotMeasured);
+    }
+    const Cell sum = RowOf(model, "control, all kinds").at(target, Column::kOrdinary);
+    RC_ASSERT(sum.how != How::kNotMeasured);
+    RC_ASSERT(sum.at_least == (gone.find("bytes") != std::string::npos));
+    // A part is missing, so the sum may not pass for one that holds.
+    const std::string page = TextOf(target, model);
+    if (sum.at_least)
+      RC_ASSERT(page.find("all kinds, both ways, marks \"each\", bytes a second**: within") ==
+                std::string::npos);
+  }));
+}
+
+TEST_CASE("page: each part stands in the words once") {
+  const Target target = Committed();
+  const Model model({});
+  const PageNames names{kTargetFile, "docs/capacity", "capacity"};
+  const auto says = [&](const std::string& words) {
+    const auto page = Render(target, model, words, names);
+    return std::holds_alternative<std::string>(page) ? std::get<std::string>(page) : "";
+  };
+  CHECK(says(Words()).empty());
+  CHECK(says(Words() + "{{pooler}}") == "'{{pooler}}' stands there twice");
+  CHECK(says(Words() + "{{poolers}}") == "'{{poolers}}' is not known");
+  CHECK(says(Words() + "{{pool") == "a part's name does not end: {{pool");
+  std::string words = Words();
+  words.erase(words.find("{{failures}}"), 12);
+  CHECK(says(words) == "'{{failures}}' is missing");
+}
+
+TEST_CASE("page: figures have four digits") {
+  CHECK(Figure(0) == "0");
+  CHECK(Figure(1.4034) == "1.4");
+  CHECK(Figure(99.96) == "100");
+  CHECK(Figure(730) == "730");
+  CHECK(Figure(2170.7) == "2,171");
+  CHECK(Figure(1'048'576) == "1,049,000");
+  CHECK(Figure(-0.0321) == "-0.0321");
+  CHECK(Figure(0.0000456) == "4.6e-05");
+}
+
+TEST_CASE("page: docs/CAPACITY.md is what the command writes from the committed files") {
+  const auto records = LoadMeasurements(MeasurementFiles(kRoot + "/docs/capacity"));
+  REQUIRE_MESSAGE(std::holds_alternative<std::vector<Record>>(records), std::get<std::string>(records));
+  const auto page = Render(Committed(), Model(std::get<std::vector<Record>>(records)), Words(),
+                           {kTargetFile, "docs/capacity", "capacity"});
+  REQUIRE(std::holds_alternative<Page>(page));
+  const char* again = "write it again: lynxgrade-lab capacity && gnuplot docs/capacity/curves.gp";
+  CHECK_MESSAGE(std::get<Page>(page).text == Whole(kRoot + "/docs/CAPACITY.md"), again);
+  CHECK_MESSAGE(std::get<Page>(page).data == Whole(kRoot + "/docs/capacity/curves.dat"), again);
+  CHECK_MESSAGE(std::get<Page>(page).plot == Whole(kRoot + "/docs/capacity/curves.gp"), again);
+  CHECK(std::filesystem::exists(kRoot + "/docs/capacity/curves.svg"));
+}
+
+TEST_CASE("command: a file that cannot be used ends it with one sentence before anything is written") {
+  std::string folder = (std::filesystem::temp_directory_path() / "lynxgrade-capacity-XXXXXX").string();
+  REQUIRE(mkdtemp(folder.data()) != nullptr);
+  const auto run = [&](const std::string& options, int code, const std::string& sentence) {
+    const std::string command = "cd " + kRoot + " && " + LAB + " capacity --out " + folder + "/page.md " +
+                                options + " >" + folder + "/out 2>" + folder + "/err";
+    const int status = std::system(command.c_str());
+    CHECK(WIFEXITED(status));
+    CHECK(WEXITSTATUS(status) == code);
+    CHECK(Whole(folder + "/err") == sentence);
+    CHECK(std::filesystem::exists(folder + "/page.md") == (code == 0));
+  };
+  std::ofstream(folder + "/bad.toml") << "[fleet]\npoolers = 0\n";
+  std::ofstream(folder + "/bad.json") << "{}";
+  run("--target " + folder + "/none.toml", 2,
+      "lynxgrade-lab: the target " + folder + "/none.toml cannot be read\n");
+  run("--target " + folder + "/bad.toml", 2,
+      "lynxgrade-lab: the target " + folder + "/bad.toml: line 1, column 1: 'assumed' is missing\n");
+  run("--measurements " + folder + "/bad.json", 2,
+      "lynxgrade-lab: the measurements " + folder +
+          "/bad.json: the measurements are not a list of records\n");
+  run("--plot " + folder, 2,
+      "lynxgrade-lab: the words of the page, " + folder + "/page.md.in, cannot be read\n");
+  std::filesystem::copy(kRoot + "/docs/capacity/page.md.in", folder + "/page.md.in");
+  run("--plot " + folder, 0, "");
+  CHECK(std::filesystem::exists(folder + "/curves.gp"));
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace lynxgrade::capacity
