--- /dev/null
+++ b/src/capacity/as_it_stands.h
@@ -0,0 +1,22 @@
+// Bounds of the program as it stands, for rows that are worked out. Each belongs to the file that is named
+// with it; the test compares those that can be seen from outside, so that a change there cannot leave the
+// page behind.
+#pragma once
+
+namespace lynxgrade::capacity {
+
+constexpr double kPacketsPerS = 2'000;     // peers::Exchange::Options::packets_per_s
+constexpr double kIdleFlushMs = 100;       // peers::Exchange::Options::idle
+constexpr double kMarksKept = 65'536;      // peers::Exchange::Options::kept
+constexpr double kHoldMs = 30;             // sessions.hold_ms
+constexpr double kHeardLately = 8;         // src/session/keeper: holds; an older word is not waited for
+constexpr double kRecallS = 30;            // sessions.recall_s
+constexpr double kLedgerSessions = 8'192;  // sessions.capacity
+constexpr double kProbeMs = 200;           // peers.probe_ms
+constexpr double kPooledS = 10;  // src/upstream/pool: a connection to a database asked that lately stays
+constexpr double kAnswerBytes = 1'048'576;  // src/control/server: the longest answer
+constexpr double kIdlePart = 8;             // src/front: clients over one in so many descriptors leave early
+constexpr double kReserved = 40;            // net::DescriptorBudget: descriptors kept back
+constexpr double kDrainGraceS = 2;          // rules.drain_grace_us of the platform's configuration
+
+}  // namespace lynxgrade::capacity
--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "capacity/as_it_stands.h"
 #include "fleet/call_waits.h"
 
 namespace lynxgrade::capacity {
@@ -15,19 +16,6 @@
 constexpr double kHardlyAny = 0.01;
 constexpr double kMostGrowth = 8;  // times the target: beyond it the design is another
 
-// Of the program as it stands; docs/CAPACITY.md names the folder of each.
-constexpr double kPacketsPerS = 2'000;     // peers::Exchange::Options::packets_per_s
-constexpr double kIdleFlushMs = 100;       // peers::Exchange::Options::idle
-constexpr double kHoldMs = 30;             // sessions.hold_ms
-constexpr double kHeardLately = 8;         // holds: how old a peer's word may be for a read to wait for more
-constexpr double kProbeMs = 200;           // peers.probe_ms
-constexpr double kMarksKept = 65'536;      // peers::Exchange::Options::kept
-constexpr double kRecallS = 30;            // sessions.recall_s
-constexpr double kLedgerSessions = 8'192;  // sessions.capacity
-constexpr double kPooledS = 10;            // a connection to a database that was asked that lately stays open
-constexpr double kAnswerBytes = 1'048'576;  // control::Server::kLongestAnswer
-constexpr double kDrainGraceS = 2;          // rules.drain_grace_us of the platform
-
 // Scripts whose records tell of one column, or of one part alone, and not of an ordinary second.
 bool Ordinary(const Record& record) {
   for (const char* word : {"zone", "region", "rack", "idle_clients", "decision", "ledger", "peers_command"}) {
@@ -80,17 +68,39 @@
     return kept;
   }
 
-  // A row by slopes of a figure. `events`: a zone's or a region's loss adds to it what the slopes of ordinary
-  // seconds do not show.
-  Row& Fitted(Row row, const std::string& figure, const std::vector<Term>& terms, const Keep& keep,
-              bool events = false) {
+  // A row by slopes of a figure.
+  Row& Fitted(Row row, const std::string& figure, const std::vector<Term>& terms, const Keep& keep) {
     const Slopes slopes(terms, figure, Kept(keep));
     row.slopes = slopes;
-    const double scale = row.scale;
-    row.at = [slopes, scale, events](const Target& target, Column column) {
+    row.at = [slopes, scale = row.scale](const Target& target, Column column) {
+      return Times(slopes.At(SizeIn(target, column)), scale);
+    };
+    return Add(std::move(row));
+  }
+
+  // The same of what a zone's or a region's loss adds to. Runs of such a loss tell it where there are enough;
+  // else the slopes of ordinary seconds do, without what the loss itself costs.
+  Row& FittedWithLosses(Row row, const std::string& figure, const std::vector<Term>& terms,
+                        const Keep& keep) {
+    const auto with = [&keep](const char* script) {
+      return
+          [&keep, script](const Record& record) { return keep(record) && record.script.starts_with(script); };
+    };
+    const Slopes slopes(terms, figure, Kept([&](const Record& r) { return keep(r) && Ordinary(r); }));
+    row.slopes = slopes;
+    row.zone.emplace(terms, figure, Kept(with("zone")));
+    row.regions.emplace(terms, figure, Kept(with("region")));
+    row.at = [slopes, zone = *row.zone, regions = *row.regions, scale = row.scale](const Target& target,
+                                                                                   Column column) {
+      const Slopes* loss = column == Column::kZoneGone     ? &zone
+                           : column == Column::kRegionsCut ? &regions
+                                                           : nullptr;
+      // Such runs are named by the size that they began with.
+      if (loss != nullptr && loss->fit()) {
+        return Times(loss->At(SizeIn(target, Column::kOrdinary)), scale);
+      }
       Cell cell = Times(slopes.At(SizeIn(target, column)), scale);
-      if (cell.how == How::kNotMeasured) return cell;
-      if (events && (column == Column::kZoneGone || column == Column::kRegionsCut)) {
+      if (loss != nullptr && cell.how != How::kNotMeasured) {
         cell.how = How::kWorkedOut;
         cell.at_least = true;
       }
@@ -140,24 +150,25 @@
 void AddMarks(Builder& build, const std::string& way, const std::vector<Row>& others) {
   const std::string suffix = way.empty() ? "" : ", marks \"" + way + "\"";
   const bool owners = !way.empty() && way != "each" && way != "off";
-  const Keep keep = [way](const Record& record) { return record.marks == way && Ordinary(record); };
+  const Keep keep = [way](const Record& record) { return record.marks == way; };
   // From each to each a write goes to every other pooler, so the fleet's writes come to each.
   const std::vector<Term> terms =
       owners ? std::vector<Term>{Term::kOne, Term::kPoolers, Term::kWrites, Term::kRoaming}
              : std::vector<Term>{Term::kOne, Term::kPoolers, Term::kFleetWrites};
   std::vector<Row> bytes = others;
   for (const char* direction : {"out", "in"}) {
-    Row& row =
-        build.Fitted(Named(Role::kPooler, "messages",
-                           "marks " + std::string(direction) + suffix + ", bytes a second", "src/peers"),
-                     std::string("marks_bytes_") + direction + "_per_s", terms, keep, true);
+    Row& row = build.FittedWithLosses(
+        Named(Role::kPooler, "messages", "marks " + std::string(direction) + suffix + ", bytes a second",
+              "src/peers"),
+        std::string("marks_bytes_") + direction + "_per_s", terms, keep);
     if (!owners && row.slopes->SlopeOf(Term::kFleetWrites)) {
       row.note = "regions cut: with what was missed, sent again after the cut";
       const auto before = row.at;
       const double per_mark = *row.slopes->SlopeOf(Term::kFleetWrites);
-      row.at = [before, per_mark](const Target& target, Column column) {
+      row.at = [before, per_mark, played = row.regions->fit().has_value()](const Target& target,
+                                                                           Column column) {
         Cell cell = before(target, column);
-        if (cell.how == How::kNotMeasured || column != Column::kRegionsCut) return cell;
+        if (cell.how == How::kNotMeasured || column != Column::kRegionsCut || played) return cell;
         const double across = target.poolers - target.poolers / target.regions;
         cell.value += per_mark * across * MissedMarks(target) / target.catch_up_s.assumed;
         return cell;
@@ -177,21 +188,21 @@
   all.issue = "38";
   build.Arithmetic(all, sum);
   for (const char* direction : {"out", "in"}) {
-    build.Fitted(Named(Role::kPooler, "messages", "packets " + std::string(direction) + suffix + ", a second",
-                       "src/peers"),
-                 std::string("packets_") + direction + "_per_s", terms, keep, true);
+    build.FittedWithLosses(Named(Role::kPooler, "messages",
+                                 "packets " + std::string(direction) + suffix + ", a second", "src/peers"),
+                           std::string("packets_") + direction + "_per_s", terms, keep);
   }
   Row cpu = Named(Role::kPooler, "processor", "control" + suffix + ", % of a core",
                   "src/peers, src/members, src/session, src/discovery");
   cpu.scale = 100;
   cpu.budget = [](const Target& target) { return target.cpu_percent; };
   cpu.issue = "38";
-  build.Fitted(cpu, "cpu_share", terms, keep, true);
+  build.FittedWithLosses(cpu, "cpu_share", terms, keep);
   Row memory = Named(Role::kPooler, "memory", "control" + suffix + ", MB",
                      "src/peers, src/session, src/discovery, src/balance.cpp");
   memory.budget = [](const Target& target) { return target.memory_mb; };
   memory.issue = "none yet";
-  build.Fitted(memory, "memory_mb", {Term::kOne, Term::kPoolers, Term::kDatabases}, keep, true);
+  build.FittedWithLosses(memory, "memory_mb", {Term::kOne, Term::kPoolers, Term::kDatabases}, keep);
 }
 
 void AddPooler(Builder& build, const std::vector<Record>& records) {
@@ -232,17 +243,18 @@
                          "writes of one pooler x the length of a cut, 65,536 at most"),
                    [](const Target& target, Column) { return Worked(MissedMarks(target)); });
 
+  const Keep any = [](const Record&) { return true; };
   std::vector<Row> others;
   for (const char* direction : {"out", "in"}) {
-    others.push_back(
-        build.Fitted(Named(role, "messages", "membership " + std::string(direction) + ", bytes a second",
-                           "src/peers/swim"),
-                     std::string("membership_bytes_") + direction + "_per_s",
-                     {Term::kOne, Term::kPoolers, Term::kChanges}, Ordinary, true));
+    others.push_back(build.FittedWithLosses(
+        Named(role, "messages", "membership " + std::string(direction) + ", bytes a second",
+              "src/peers/swim"),
+        std::string("membership_bytes_") + direction + "_per_s", {Term::kOne, Term::kPoolers, Term::kChanges},
+        any));
   }
-  others.push_back(build.Fitted(
+  others.push_back(build.FittedWithLosses(
       Named(role, "messages", "discovery's list in, bytes a second", "src/discovery"),
-      "discovery_bytes_in_per_s", {Term::kOne, Term::kDatabases, Term::kChanges}, Ordinary, true));
+      "discovery_bytes_in_per_s", {Term::kOne, Term::kDatabases, Term::kChanges}, any));
   const std::vector<Row> membership(others.begin(), others.begin() + 2);
   Row both = Named(role, "messages", "membership alone, both ways, bytes a second", "src/peers/swim",
                    "of the budget of all kinds together");
@@ -312,6 +324,15 @@
   build.Fitted(Named(role, "memory", "a pooler with idle clients, MB", "src/front, src/net",
                      "one pooler, peers off; not control"),
                "memory_mb", {Term::kOne, Term::kClients}, idle);
+  Row stay =
+      Named(role, "descriptors", "needed so that clients idle for up to 15 s stay", "src/front",
+            "8 x clients of one pooler and 40 for the program; where clients hold more than an eighth, "
+            "they are closed after 2.2 s, over a quarter after 0.5 s; a client asks every 2.1 s on average");
+  stay.budget = [](const Target& target) { return target.descriptors.assumed; };
+  stay.issue = "9";
+  build.Arithmetic(stay, [](const Target& target, Column column) {
+    return Worked(kIdlePart * ValueOf(Term::kClients, SizeIn(target, column)) + kReserved);
+  });
   build.Arithmetic(Named(role, "descriptors", "clients", "src/front", "clients / poolers"),
                    size_of(Term::kClients));
   build.Arithmetic(Named(role, "descriptors", "databases with a connection open", "src/upstream",
@@ -443,7 +464,7 @@
     const double asked = ValueOf(Term::kStatements, size) / size.databases;
     return Worked(size.poolers * (1 - std::exp(-asked * kPooledS)));
   });
-  build.Fitted(Named(role, "descriptors", "databases that one pooler asks, as played", "src/upstream"),
+  build.Fitted(Named(role, "descriptors", "connections asked for by one pooler, a second", "src/upstream"),
                "database_connections_asked_per_s", {Term::kOne, Term::kDatabases}, Ordinary);
 }
 
--- a/src/capacity/model.h
+++ b/src/capacity/model.h
@@ -81,6 +81,8 @@
   std::function<Cell(const Target&, Column)> at;
   std::function<double(const Target&)> budget;  // none: nothing bounds it
   std::optional<Slopes> slopes;
+  // The same over runs that lost a zone or cut the regions, where there are enough of them; means of a run.
+  std::optional<Slopes> zone, regions;
   double scale = 1;  // from the figure's unit to the row's
 };
 
--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kCurvesTo = 8;      // times the target's poolers
+constexpr double kRounding = 1e-9;   // parts of a figure that are arithmetic's and no error of measurement
 constexpr double kSeen = 0.01;       // the part of a figure by which an assumption moves it, to be shown
 constexpr double kCurveStep = 1.25;  // from one point to the next: smooth on a logarithmic scale
 
@@ -25,7 +26,7 @@
   if (cell.how == How::kNotMeasured) return "*not measured*";
   std::string text = cell.at_least ? "≥ " : "";
   text += Figure(cell.value);
-  if (cell.error > 0) text += " ± " + Figure(cell.error);
+  if (cell.error > kRounding * std::abs(cell.value)) text += " ± " + Figure(cell.error);
   return text + (cell.how == How::kMeasured ? " **m**" : " **w**");
 }
 
@@ -86,25 +87,24 @@
   return other;
 }
 
-std::string SlopeText(const Row& row) {
-  const Slopes& slopes = *row.slopes;
+std::string SlopeText(const Row& row, const Slopes& slopes) {
   if (!slopes.fit()) return "none: " + slopes.refused();
   std::string text;
   const Fit& fit = *slopes.fit();
   for (std::size_t i = 0; i < fit.slopes.size(); ++i) {
     const double value = fit.slopes[i] * row.scale, error = fit.errors[i] * row.scale;
+    const std::string off = error > kRounding * std::abs(value) ? " (± " + Figure(error) + ")" : "";
     if (i == 0) {
-      text = (value < 0 ? "-" : "") + Figure(std::abs(value)) + " (± " + Figure(error) + ")";
+      text = Figure(value) + off;
     } else {
-      text += (value < 0 ? " - " : " + ") + Figure(std::abs(value)) + " (± " + Figure(error) + ") x " +
+      text += (value < 0 ? " - " : " + ") + Figure(std::abs(value)) + off + " x " +
               NameOf(slopes.varied()[i - 1].term);
     }
   }
   return text;
 }
 
-std::string RangeText(const Row& row) {
-  const Slopes& slopes = *row.slopes;
+std::string RangeText(const Slopes& slopes) {
   std::string text;
   for (const Slopes::Range& range : slopes.varied()) {
     text += (text.empty() ? "" : "; ") + std::string(NameOf(range.term)) + " " + Figure(range.least) +
@@ -118,8 +118,7 @@
 }
 
 // How far the target's size in the worst ordinary second lies beyond the records.
-std::string BeyondText(const Row& row, const Target& target) {
-  const Slopes& slopes = *row.slopes;
+std::string BeyondText(const Slopes& slopes, const Target& target) {
   if (!slopes.fit()) return "-";
   const Size size = SizeIn(target, Column::kWorstOrdinary);
   std::string text;
@@ -148,11 +147,15 @@
     loads += " | " + (bounded ? Figure(row.budget(target)) : "-") + " | " +
              (bounded ? Verdict(Heavier(row, target), row.budget(target)) : "-") + " | " + row.mechanism +
              " |\n";
-    if (row.slopes) {
-      slopes += "| " + row.name + " | " + SlopeText(row) + " | " +
-                (row.slopes->fit() ? Figure(row.slopes->fit()->residual * row.scale) : "-") + " | " +
-                RangeText(row) + " | " + BeyondText(row, target) + " |\n";
-    }
+    const auto tell = [&](const char* when, const std::optional<Slopes>& of, bool refused_too) {
+      if (!of || (!of->fit() && !refused_too)) return;
+      slopes += "| " + row.name + when + " | " + SlopeText(row, *of) + " | " +
+                (of->fit() ? Figure(of->fit()->residual * row.scale) : "-") + " | " + RangeText(*of) + " | " +
+                BeyondText(*of, target) + " |\n";
+    };
+    tell("", row.slopes, true);
+    tell(" (runs that lose a zone)", row.zone, false);
+    tell(" (runs that cut the regions)", row.regions, false);
     if (!row.note.empty()) sums += "- " + row.name + ": " + row.note + ".\n";
   }
   std::string text = loads;
@@ -198,6 +201,16 @@
   return Figure(*at);
 }
 
+// The least number of poolers at which the row is over in the ordinary or the worst ordinary second.
+double FirstOver(const Row& row, const Target& target) {
+  double first = INFINITY;
+  for (const Column column : {Column::kOrdinary, Column::kWorstOrdinary}) {
+    const auto at = LeavesAt(row, target, column);
+    if (at && *at > 0) first = std::min(first, *at);
+  }
+  return first;
+}
+
 std::string FailTable(const Target& target, const Model& model) {
   struct Line {
     double first;
@@ -213,14 +226,10 @@
       open += "- " + row.name + (row.slopes && !row.slopes->fit() ? ": " + row.slopes->refused() : "") + "\n";
       continue;
     }
-    double first = INFINITY;
-    for (const auto& one : {at[0], at[1]}) {
-      if (one && *one > 0) first = std::min(first, *one);
-    }
     std::string text = " | " + row.name;
     for (const auto& one : at) text += " | " + LeavesText(one, target);
     text += " | " + row.mechanism + " | " + row.issue + " |\n";
-    lines.push_back({first, text});
+    lines.push_back({FirstOver(row, target), text});
   }
   std::stable_sort(lines.begin(), lines.end(),
                    [](const Line& a, const Line& b) { return a.first < b.first; });
@@ -318,7 +327,10 @@
   for (const Row& row : model.rows()) {
     if (!row.budget) continue;
     const Cell cell = Heavier(row, target);
-    const std::string line = "- " + row.name + ": " + Verdict(cell, row.budget(target)) + "\n";
+    std::string line = "- " + row.name + ": " + Verdict(cell, row.budget(target));
+    const double first = FirstOver(row, target);
+    if (first > 2 && first <= target.poolers) line += ", from " + Figure(first) + " poolers on";
+    line += "\n";
     if (cell.how != How::kNotMeasured && cell.value > row.budget(target)) {
       over += line;
     } else if (cell.how == How::kNotMeasured || cell.at_least) {
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -14,10 +14,14 @@
 #include <random>
 #include <string>
 
+#include "capacity/as_it_stands.h"
 #include "capacity/files.h"
 #include "capacity/fit.h"
 #include "capacity/model.h"
 #include "capacity/page.h"
+#include "net/budget.h"
+#include "peers/exchange.h"
+#include "setup.h"
 
 namespace lynxgrade::capacity {
 namespace {
@@ -307,6 +311,56 @@
   CHECK(text.find("**fails** | **control, all kinds") < text.find("**fails** | connections of poolers"));
 }
 
+TEST_CASE("model: what follows from the target alone") {
+  const Target target = Committed();
+  const Model model({});
+  const auto at = [&](const char* name, Column column) {
+    return RowOf(model, name).at(target, column).value;
+  };
+  const Size ordinary = SizeIn(target, Column::kOrdinary);
+  CHECK(Near(ordinary.poolers * ordinary.databases, 299'300));
+  CHECK(Near(at("statements of one pooler", Column::kOrdinary), 1.403, 0.001));
+  CHECK(std::round(ValueOf(Term::kClients, ordinary)) == 2'171);
+  CHECK(Near(at("clients that connect anew", Column::kZoneGone), 890'000.0 / 7 / 10 / (410.0 * 6 / 7)));
+  CHECK(RowOf(model, "clients that connect anew").at(target, Column::kOrdinary).how == How::kNotMeasured);
+  // 2 x 240 / 2,000 s is 240 ms: one pooler more is too many.
+  CHECK(LeavesAt(RowOf(model, "two pauses"), target, Column::kOrdinary) == 242);
+  CHECK(Near(at("needed so that clients idle", Column::kOrdinary), 8 * 890'000.0 / 410 + 40));
+}
+
+TEST_CASE("model: runs that lose a zone or cut regions tell of themselves, and of no ordinary second") {
+  const Target target = Committed();
+  std::vector<Record> records = Fleet();
+  for (const double poolers : {50.0, 100.0, 205.0, 410.0, 820.0}) {
+    Record record = Played(poolers, 0);
+    record.script = "zone";
+    record.figures = {{"membership_bytes_out_per_s", 20 * poolers}};
+    records.push_back(record);
+  }
+  const Model model(records);
+  const Row& row = RowOf(model, "membership out");
+  CHECK(Near(row.at(target, Column::kOrdinary).value, 600 + 5 * 410, 1e-4));
+  CHECK(Near(row.at(target, Column::kZoneGone).value, 20 * 410, 1e-4));
+  CHECK_FALSE(row.at(target, Column::kZoneGone).at_least);
+  CHECK(row.at(target, Column::kRegionsCut).at_least);
+}
+
+TEST_CASE("model: the bounds that rows rest on are the program's") {
+  const peers::Exchange::Options exchange;
+  CHECK(exchange.packets_per_s == kPacketsPerS);
+  CHECK(exchange.idle == Duration(static_cast<std::int64_t>(kIdleFlushMs * 1000)));
+  CHECK(static_cast<double>(exchange.kept) == kMarksKept);
+  const auto setup = ReadSetup("");
+  REQUIRE(std::holds_alternative<Setup>(setup));
+  const Setup& set = std::get<Setup>(setup);
+  CHECK(set.sessions.hold == Duration(static_cast<std::int64_t>(kHoldMs * 1000)));
+  CHECK(set.sessions.recall == Duration(static_cast<std::int64_t>(kRecallS * 1e6)));
+  CHECK(static_cast<double>(set.sessions.sessions) == kLedgerSessions);
+  CHECK(set.peers.probe == Duration(static_cast<std::int64_t>(kProbeMs * 1000)));
+  net::DescriptorBudget budget(1'000);
+  CHECK(static_cast<double>(budget.all()) == 1'000 - kReserved);
+}
+
 TEST_CASE("model: an assumption moves what depends on it, and nothing else") {
   const Target target = Committed();
   const Model model(Fleet());
