Take what events add, kinds of message and hollow-beside-real figures into the page on capacity

Need: the scale run tells bytes by kind (membership, marks, reigns, ledgers), peaks of runs with events, and counts what it played; the page had no row for some and no use for others.

Change: rows for each kind and way of exchanging marks; what primaries, replacements, a lost zone and cut regions add in their worst second, above the slopes of quiet and loaded runs; tables of hollow beside real poolers and of service.

--- a/src/capacity/as_it_stands.h
+++ b/src/capacity/as_it_stands.h
@@ -8,6 +8,8 @@
 constexpr double kPacketsPerS = 2'000;     // peers::Exchange::Options::packets_per_s
 constexpr double kIdleFlushMs = 100;       // peers::Exchange::Options::idle
 constexpr double kMarksKept = 65'536;      // peers::Exchange::Options::kept
+constexpr double kReignsAPacket = 8;       // src/peers/exchange
+constexpr double kReignsEveryMs = 500;     // src/peers/exchange
 constexpr double kHoldMs = 30;             // sessions.hold_ms
 constexpr double kHeardLately = 8;         // src/session/keeper: holds; an older word is not waited for
 constexpr double kRecallS = 30;            // sessions.recall_s
--- a/src/capacity/measurements.cpp
+++ b/src/capacity/measurements.cpp
@@ -56,6 +56,17 @@
     if (!value.is_number()) Wrong(at, "'figures." + key + "' is not a number");
     record.figures[key] = value.get<double>();
   }
+  const auto figure = [&](const char* key) {
+    const auto found = record.figures.find(key);
+    return found == record.figures.end() ? -1 : found->second;
+  };
+  if (const double statements = figure("statements"), over = figure("measured_s");
+      statements >= 0 && over > 0) {
+    record.size.statements_per_s = statements / over;
+    if (const double writes = figure("writes"); statements > 0 && writes >= 0 && writes <= statements) {
+      record.size.writes_share = writes / statements;
+    }
+  }
   return record;
 }
 
--- a/src/capacity/measurements.h
+++ b/src/capacity/measurements.h
@@ -20,6 +20,8 @@
 };
 
 struct Record {
+  // Where a run counted statements and writes (figures `statements`, `writes`, `measured_s`), what it counted
+  // stands here in place of what it was asked to play; else both are the whole fleet's, as `run` tells them.
   Size size;
   double real = 0;  // how many of the poolers were processes of their own
   double seconds = 0;
--- a/src/capacity/model.h
+++ b/src/capacity/model.h
@@ -71,6 +71,26 @@
   std::string refused_;
 };
 
+// What runs with events show above the slopes of quiet and loaded ones, over the number of poolers.
+class Surplus {
+ public:
+  // `scripts`: those that count, by the beginning of their names. The figure's peak where a run tells one.
+  Surplus(const Slopes& slopes, const std::string& figure, const std::vector<const Record*>& records,
+          const std::vector<std::string>& scripts);
+
+  // Not measured where no run tells it; at least, where so many poolers were never played.
+  Cell At(double poolers) const;
+  std::size_t records() const { return records_; }
+  const std::optional<Fit>& fit() const { return fit_; }  // the constant, and one pooler's part
+  double most_poolers() const { return most_poolers_; }
+  double largest() const { return largest_; }
+
+ private:
+  std::size_t records_ = 0;
+  std::optional<Fit> fit_;
+  double largest_ = 0, least_poolers_ = 0, most_poolers_ = 0;
+};
+
 struct Row {
   Role role = Role::kPooler;
   std::string group;      // state, messages, ...
@@ -81,8 +101,9 @@
   std::function<Cell(const Target&, Column)> at;
   std::function<double(const Target&)> budget;  // none: nothing bounds it
   std::optional<Slopes> slopes;
-  // The same over runs that lost a zone or cut the regions, where there are enough of them; means of a run.
-  std::optional<Slopes> zone, regions;
+  // What events add in their worst second to what the slopes say: in the worst ordinary second, with a zone
+  // gone, with regions cut.
+  std::optional<Surplus> events, zone, regions;
   double scale = 1;  // from the figure's unit to the row's
 };
 
--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdio>
 #include <set>
+#include <tuple>
 
 namespace lynxgrade::capacity {
 namespace {
@@ -68,6 +69,26 @@
   return text;
 }
 
+const char* ShortOf(Role role) {
+  switch (role) {
+    case Role::kPooler:
+      return "pooler";
+    case Role::kControlMachines:
+      return "control machines";
+    case Role::kDiscovery:
+      return "discovery";
+    case Role::kDatabase:
+      return "database";
+    case Role::kCommand:
+      return "operator's command";
+  }
+  return "";
+}
+
+std::string FullName(const Row& row) {
+  return std::string(ShortOf(row.role)) + ", " + row.group + ": " + row.name;
+}
+
 std::string Bare(std::string text) {
   std::erase_if(text, [](char c) { return c == '*' || c == '`' || c == '"'; });
   return text;
@@ -87,23 +108,29 @@
   return other;
 }
 
-std::string SlopeText(const Row& row, const Slopes& slopes) {
-  if (!slopes.fit()) return "none: " + slopes.refused();
+// "a + b x poolers + ...", each with its standard error; the constant comes first.
+std::string Line(const std::vector<double>& slopes, const std::vector<double>& errors,
+                 const std::vector<Term>& terms, double scale) {
   std::string text;
-  const Fit& fit = *slopes.fit();
-  for (std::size_t i = 0; i < fit.slopes.size(); ++i) {
-    const double value = fit.slopes[i] * row.scale, error = fit.errors[i] * row.scale;
+  for (std::size_t i = 0; i < slopes.size(); ++i) {
+    const double value = slopes[i] * scale, error = errors[i] * scale;
     const std::string off = error > kRounding * std::abs(value) ? " (± " + Figure(error) + ")" : "";
     if (i == 0) {
       text = Figure(value) + off;
     } else {
-      text += (value < 0 ? " - " : " + ") + Figure(std::abs(value)) + off + " x " +
-              NameOf(slopes.varied()[i - 1].term);
+      text += (value < 0 ? " - " : " + ") + Figure(std::abs(value)) + off + " x " + NameOf(terms[i - 1]);
     }
   }
   return text;
 }
 
+std::string SlopeText(const Row& row, const Slopes& slopes) {
+  if (!slopes.fit()) return "none: " + slopes.refused();
+  std::vector<Term> terms;
+  for (const Slopes::Range& range : slopes.varied()) terms.push_back(range.term);
+  return Line(slopes.fit()->slopes, slopes.fit()->errors, terms, row.scale);
+}
+
 std::string RangeText(const Slopes& slopes) {
   std::string text;
   for (const Slopes::Range& range : slopes.varied()) {
@@ -138,7 +165,7 @@
       "| part | what | ordinary second | worst ordinary second | zone gone | regions cut | budget or limit | "
       "verdict on the first two | carried by |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
   std::string slopes;
-  std::string sums;
+  std::string added, sums;
   for (const Row& row : model.rows()) {
     if (row.role != role) continue;
     loads += "| " + row.group + " | " + row.name;
@@ -147,15 +174,21 @@
     loads += " | " + (bounded ? Figure(row.budget(target)) : "-") + " | " +
              (bounded ? Verdict(Heavier(row, target), row.budget(target)) : "-") + " | " + row.mechanism +
              " |\n";
-    const auto tell = [&](const char* when, const std::optional<Slopes>& of, bool refused_too) {
-      if (!of || (!of->fit() && !refused_too)) return;
-      slopes += "| " + row.name + when + " | " + SlopeText(row, *of) + " | " +
-                (of->fit() ? Figure(of->fit()->residual * row.scale) : "-") + " | " + RangeText(*of) + " | " +
-                BeyondText(*of, target) + " |\n";
+    if (row.slopes) {
+      slopes += "| " + row.name + " | " + SlopeText(row, *row.slopes) + " | " +
+                (row.slopes->fit() ? Figure(row.slopes->fit()->residual * row.scale) : "-") + " | " +
+                RangeText(*row.slopes) + " | " + BeyondText(*row.slopes, target) + " |\n";
+    }
+    const auto tell = [&](const char* when, const std::optional<Surplus>& of) {
+      if (!of || of->records() == 0) return;
+      std::string text = "the largest of all, " + Figure(of->largest() * row.scale);
+      if (of->fit()) text = Line(of->fit()->slopes, of->fit()->errors, {Term::kPoolers}, row.scale);
+      added += "| " + row.name + " | " + when + " | " + text + " | " + std::to_string(of->records()) +
+               " | poolers up to " + Figure(of->most_poolers()) + " |\n";
     };
-    tell("", row.slopes, true);
-    tell(" (runs that lose a zone)", row.zone, false);
-    tell(" (runs that cut the regions)", row.regions, false);
+    tell("worst ordinary second", row.events);
+    tell("zone gone", row.zone);
+    tell("regions cut", row.regions);
     if (!row.note.empty()) sums += "- " + row.name + ": " + row.note + ".\n";
   }
   std::string text = loads;
@@ -166,6 +199,12 @@
         "ordinary second lies beyond it by |\n| --- | --- | --- | --- | --- |\n" +
         slopes;
   }
+  if (!added.empty()) {
+    text +=
+        "\nWhat events add in their worst second:\n\n| what | column | added | records | range |\n"
+        "| --- | --- | --- | --- | --- |\n" +
+        added;
+  }
   if (!sums.empty()) text += "\nArithmetic:\n\n" + sums;
   return text;
 }
@@ -223,10 +262,11 @@
     std::array<std::optional<double>, 4> at;
     for (std::size_t i = 0; i < kColumns.size(); ++i) at[i] = LeavesAt(row, target, kColumns[i]);
     if (!at[0] && !at[1]) {
-      open += "- " + row.name + (row.slopes && !row.slopes->fit() ? ": " + row.slopes->refused() : "") + "\n";
+      open += "- " + FullName(row) + (row.slopes && !row.slopes->fit() ? ": " + row.slopes->refused() : "") +
+              "\n";
       continue;
     }
-    std::string text = " | " + row.name;
+    std::string text = " | " + FullName(row);
     for (const auto& one : at) text += " | " + LeavesText(one, target);
     text += " | " + row.mechanism + " | " + row.issue + " |\n";
     lines.push_back({FirstOver(row, target), text});
@@ -269,7 +309,7 @@
       const bool budget_moves = row.budget && row.budget(low) != row.budget(high);
       const double span = std::abs(cells[2].value - cells[0].value);
       if (!budget_moves && span <= kSeen * std::abs(cells[1].value)) continue;
-      std::string line = std::string("| ") + field.key + " | " + row.name;
+      std::string line = std::string("| ") + field.key + " | " + FullName(row);
       for (const Cell& cell : cells) {
         line += " | " + std::string(cell.at_least ? "≥ " : "") + Figure(cell.value);
       }
@@ -322,12 +362,77 @@
   return text;
 }
 
+// Hollow poolers beside real ones, where a run had both.
+std::string ProofTable(const Model& model) {
+  std::string text;
+  for (const Record& record : model.records()) {
+    const auto bytes = record.figures.find("hollow_vs_real_bytes_ratio");
+    const auto cpu = record.figures.find("hollow_vs_real_cpu_ratio");
+    if (bytes == record.figures.end() || cpu == record.figures.end()) continue;
+    const auto proven = [](double ratio) { return ratio >= 0.8 && ratio <= 1.25; };
+    text += "| " + record.script + " | " + record.marks + " | " + Figure(record.size.poolers) + " | " +
+            Figure(record.real) + " | " + Figure(record.seed) + " | " + Figure(bytes->second) + " | " +
+            Figure(cpu->second) + " | " + (proven(bytes->second) && proven(cpu->second) ? "yes" : "**no**") +
+            " |\n";
+  }
+  if (text.empty()) return "No run had both yet.\n";
+  return "| script | marks | poolers | of them real | seed | bytes, hollow to real | processor time, hollow "
+         "to real | "
+         "within 0.8 to 1.25 |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n" +
+         text;
+}
+
+// What runs showed of the guarantees: the worst of all records of a script and a size.
+std::string ShownTable(const Model& model) {
+  struct Column {
+    const char* figure;
+    const char* name;
+    bool least;
+  };
+  static constexpr std::array<Column, 6> kShown = {{
+      {"stale", "stale reads", false},
+      {"refused", "refused", false},
+      {"turned_away", "own-reads turned away", false},
+      {"crashed", "crashed", false},
+      {"in_reach_least", "poolers in reach, least", true},
+      {"configuration_in_force_s", "discovery's new address in force, s", false},
+  }};
+  std::map<std::tuple<std::string, std::string, double>, std::map<std::string, double>> all;
+  for (const Record& record : model.records()) {
+    for (const Column& column : kShown) {
+      const auto told = record.figures.find(column.figure);
+      if (told == record.figures.end()) continue;
+      auto& row = all[{record.script, record.marks, record.size.poolers}];
+      const auto [held, fresh] = row.emplace(column.figure, told->second);
+      if (!fresh) {
+        held->second =
+            column.least ? std::min(held->second, told->second) : std::max(held->second, told->second);
+      }
+    }
+  }
+  if (all.empty()) return "Nothing yet.\n";
+  std::string head = "| script | marks | poolers", rule = "| --- | --- | ---", text;
+  for (const Column& column : kShown) {
+    head += std::string(" | ") + column.name;
+    rule += " | ---";
+  }
+  for (const auto& [key, figures] : all) {
+    text += "| " + std::get<0>(key) + " | " + std::get<1>(key) + " | " + Figure(std::get<2>(key));
+    for (const Column& column : kShown) {
+      const auto told = figures.find(column.figure);
+      text += " | " + (told == figures.end() ? std::string("-") : Figure(told->second));
+    }
+    text += " |\n";
+  }
+  return head + " |\n" + rule + " |\n" + text;
+}
+
 std::string Short(const Target& target, const Model& model) {
   std::string over, open, within;
   for (const Row& row : model.rows()) {
     if (!row.budget) continue;
     const Cell cell = Heavier(row, target);
-    std::string line = "- " + row.name + ": " + Verdict(cell, row.budget(target));
+    std::string line = "- " + FullName(row) + ": " + Verdict(cell, row.budget(target));
     const double first = FirstOver(row, target);
     if (first > 2 && first <= target.poolers) line += ", from " + Figure(first) + " poolers on";
     line += "\n";
@@ -387,6 +492,8 @@
       {"assumptions", AssumptionTable(target)},
       {"sensitivities", SensitivityTable(target, model)},
       {"played", PlayedTable(model)},
+      {"proof", ProofTable(model)},
+      {"shown", ShownTable(model)},
   };
   auto text = Fill(words, parts);
   if (auto* wrong = std::get_if<Wrong>(&text)) return std::move(wrong->what);
--- a/src/capacity/target.cpp
+++ b/src/capacity/target.cpp
@@ -115,6 +115,7 @@
       {"catch_up_s", &Target::catch_up_s, 0.001, 86'400, "s"},
       {"configuration_bytes", &Target::configuration_bytes, 1, 1e9, "bytes"},
       {"database_connections", &Target::database_connections, 1, 1e6, "connections"},
+      {"members_of_a_group", &Target::members_of_a_group, 1, 1'000, "databases"},
       {"descriptors", &Target::descriptors, 16, 1e9, "of one pooler"},
   };
   return fields;
