Say on the page on capacity that a pooler tells others of 40 groups' primaries at most

Need: a limit found by reading Exchange::AddReigns: rounds of 500 ms, 8 a packet, each beginning anew with the same groups.

Change: a row for it, with the trial's figure; rows stand in the order of their parts.

--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -164,7 +164,7 @@
   };
   const std::array<Kind, 4> kinds = {{{"membership", "membership", "src/peers/swim", &peers},
                                       {"marks", "marks", "src/peers/exchange", &terms},
-                                      {"reigns", "who is primary since when", "src/peers/exchange", &terms},
+                                      {"reigns", "reigns of primaries", "src/peers/exchange", &terms},
                                       {"ledger", "whole ledgers", "src/peers/exchange", &peers}}};
   std::vector<Row> bytes = {discovery};
   std::vector<Row> membership;
@@ -254,7 +254,7 @@
       build.Fitted(Named(role, "state", "a session in the ledger, bytes", "src/session/ledger"),
                    "ledger_bytes_per_session", {Term::kOne}, ledger);
   build.Arithmetic(Named(role, "memory", "the ledger with all these sessions, MB", "src/session/ledger",
-                         "the two rows above; beside what the row of control holds"),
+                         "those sessions x the bytes of one; beside what the row of control holds"),
                    [at = session.at](const Target& target, Column column) {
                      Cell cell = at(target, column);
                      if (cell.how == How::kNotMeasured) return cell;
@@ -292,8 +292,9 @@
   });
   Row reigns = Named(
       role, "state", "groups whose primary is told to one pooler in a round, needed", "src/peers/exchange",
-      "databases / members of a group; the limit is 8 a packet in rounds of 500 ms, which begin "
-      "with the same groups each time; by reading, not played");
+      "databases / members of a group; the limit is 8 a packet in rounds of 500 ms, each of which begins "
+      "with the same groups; in a trial in virtual time 40 of 243 groups were known to 3 and to 50 poolers "
+      "after 60 s");
   reigns.budget = [](const Target& target) {
     return kReignsAPacket * std::ceil(kReignsEveryMs / std::max(kIdleFlushMs, PauseMs(target.poolers)));
   };
@@ -331,7 +332,7 @@
       build.Fitted(Named(role, "processor", "a decision, microseconds a statement", "src/balance.cpp"),
                    "module_cpu_us_per_statement", {Term::kOne, Term::kDatabases}, decision);
   build.Arithmetic(Named(role, "processor", "decisions, % of a core", "src/balance.cpp",
-                         "own statements x the row above; not control"),
+                         "own statements x the time of a decision; not control"),
                    [at = time.at](const Target& target, Column column) {
                      Cell cell = at(target, column);
                      if (cell.how == How::kNotMeasured) return cell;
@@ -386,7 +387,7 @@
                    });
   build.Arithmetic(
       Named(role, "messages", "configuration out, bytes a second, all machines", "none",
-            "the row above x bytes of a change"),
+            "messages x bytes of a change"),
       [](const Target& target, Column column) {
         const double changes =
             column == Column::kWorstOrdinary ? 1 : target.configuration_changes_per_day / kDay;
--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <iterator>
 #include <set>
 #include <tuple>
 
@@ -166,8 +167,12 @@
       "verdict on the first two | carried by |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
   std::string slopes;
   std::string added, sums;
-  for (const Row& row : model.rows()) {
-    if (row.role != role) continue;
+  std::vector<Row> rows;
+  for (const char* group : {"state", "messages", "processor", "memory", "descriptors"}) {
+    std::copy_if(model.rows().begin(), model.rows().end(), std::back_inserter(rows),
+                 [&](const Row& row) { return row.role == role && row.group == group; });
+  }
+  for (const Row& row : rows) {
     loads += "| " + row.group + " | " + row.name;
     for (const Column column : kColumns) loads += " | " + CellText(row.at(target, column));
     const bool bounded = static_cast<bool>(row.budget);
