Count times from when things happen, not from the pass of the loop in which they are seen

Seen by reading and forced in tests: the loop reads its clock once a pass, and what begins late in a long pass was counted from the pass's start. An attempt told its data server more time than was left (by the pass); an opening and a probe lost as much of their 250 ms, and a refused connection looked like one that hung; an own-read was taken to have come before writes that another instance answered within the same pass, and was neither held nor given a target (a stale read could follow); a start whose state took longer than join_within to read served before the others counted it; a held first try was taken for a repeat; the quiet of a watch counted from when its line was read; an answer was let go before its write was safe because this process stood still; an idle connection was used past its age between two retirements. Ruled out: the module's timers, limits and windows (decided and carried out by one clock), the text of an attempt whose connection comes up late (made as it is written), positions (absolute), stamps of the exchange and the words of members (when we asked). Change: Precise() where something begins; Loop::Since() for the earliest that a pass's news can have come; RequestEvent::held; the peers are asked again for a read that came within 1 ms of the last asking.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -677,7 +677,7 @@
     r.ask = event;
     r.arrived = now_;
     estimate::FirstTry& first = first_tries_[event.cls];
-    r.asked = now_ - first.Age(Class(r).deadline, event.time_left, event.repeat);
+    r.asked = now_ - event.held - first.Age(Class(r).deadline, event.time_left + event.held, event.repeat);
     r.deadline = now_ + event.time_left;
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryShare);
     probe_tokens_ += std::min({kFreeProbes, kProbePoints / s_.price_probe, kRetryBurst - probe_tokens_});
--- a/src/balance.h
+++ b/src/balance.h
@@ -143,7 +143,8 @@
   std::optional<Duration> since_write{};
   std::optional<Position> target{};  // kSession: what the data must hold; from src/session/
   bool proven_only = false;          // and it goes to nobody who is not proven to, whoever checks
-  std::optional<Time> arrived{};     // where it was held back before the module heard of it
+  std::optional<Time> arrived{};     // the latest at which it can have been sent; absent: now
+  Duration held{0};                  // how long it was held back, by when the module hears of it
   Duration time_left{0};
 };
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace lynxgrade::discovery {
 namespace {
 
@@ -43,8 +45,8 @@
   bool full = false;
   connection_ = net::Connection::Open(loop_, address_, *this, kRing, kRing, &full);
   if (connection_ == nullptr) return Again("no connection to be had");
-  // One limit for the whole call, however it spends its time.
-  ExpectWithin(waits_.call(), "no answer in time");
+  // One limit for the whole call, however it spends its time. It begins here, not with this pass.
+  deadline_.Set(loop_.Precise() + waits_.call(), [this] { Again("no answer in time"); });
 }
 
 void Watch::MoveTo(const net::Address& address) {
@@ -100,7 +102,8 @@
     }
     if (!wrong.empty()) spdlog::warn("discovery: {}", wrong);
     waits_.Succeeded();
-    heard_at_ = loop_.Now();
+    // It may have come while this loop was busy or stood still, and what was missed counts from then.
+    heard_at_ = std::max(heard_at_, loop_.Since());
     ExpectWithin(waits_.silence(), "silent for too long");
     if (!change) continue;
     heard_ = true;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,12 +1,15 @@
 #include "net/loop.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lynxgrade::net {
 namespace {
 
 // GLib hands its poll function no user data; there is one loop a process.
 Loop* g_loop = nullptr;
+// A poll that takes no longer than this may have found what had come before it.
+constexpr Duration kOversleep{1000};
 std::chrono::steady_clock::time_point SteadyNow() { return std::chrono::steady_clock::now(); }
 
 GSourceFuncs kPlainSource = {
@@ -18,7 +21,8 @@
 Loop::Loop()
     : anchor_(SteadyNow()),
       unix_anchor_(std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch())),
-      now_(unix_anchor_) {
+      now_(unix_anchor_),
+      since_(unix_anchor_) {
   g_loop = this;
   g_main_context_set_poll_func(nullptr, &Loop::Poll);
   source_.reset(g_source_new(&kPlainSource, sizeof(GSource)));
@@ -42,8 +46,14 @@
 }
 
 gint Loop::Poll(GPollFD* fds, guint count, gint timeout) {
+  const Time asked = g_loop != nullptr ? g_loop->Precise() : Time{};
   const gint ready = g_poll(fds, count, timeout);
-  if (g_loop != nullptr) g_loop->now_ = g_loop->Precise();
+  if (g_loop == nullptr) return ready;
+  const Time before = std::exchange(g_loop->now_, g_loop->Precise());
+  const Duration slept = g_loop->now_ - asked;
+  const bool late = timeout >= 0 && slept > std::chrono::milliseconds(timeout) + kOversleep;
+  // One that had to wait for what came was there as it came.
+  g_loop->since_ = slept < kOversleep || late ? before : g_loop->now_;
   return ready;
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -25,6 +25,9 @@
 
   // The time at which this pass over the sources began: the same for all that one pass brings.
   Time Now() const { return now_; }
+  // The earliest at which what this pass brings can have come: before Now() where the loop had no time to
+  // look, or did not wake when it should have.
+  Time Since() const { return since_; }
   // The clock as it stands at this moment; never behind Now().
   Time Precise() const;
 
@@ -48,6 +51,7 @@
   std::chrono::steady_clock::time_point anchor_;
   Time unix_anchor_;
   Time now_;
+  Time since_;
   bool running_ = false;
   std::uint64_t next_ = 0;
   std::map<TimerKey, std::function<void()>> timers_;
--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -149,8 +149,8 @@
   }
 }
 
-void Exchange::Solicit(Time now, std::vector<Out>& out) {
-  if (now - solicited_ < kSolicitEvery) return;
+bool Exchange::Solicit(Time now, std::vector<Out>& out) {
+  if (now - solicited_ < kSolicitEvery) return false;
   solicited_ = now;
   for (auto& [name, link] : links_) {
     const auto peer = swim_.peers().find(name);
@@ -158,6 +158,7 @@
       Flush(now, name, link, true, out);
     }
   }
+  return true;
 }
 
 void Exchange::Flush(Time now, const std::string& name, Link& link, bool solicit, std::vector<Out>& out) {
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -29,6 +29,7 @@
     std::size_t kept = 65536;     // own marks kept in sequence; who misses more gets the whole ledger
     double packets_per_s = 2000;  // with many peers flushes are spread out to stay under this
   };
+  static constexpr Duration kSolicitEvery{1000};
   struct Counts {
     std::uint64_t marks_in = 0, marks_out = 0, packets_out = 0, syncs = 0;
   };
@@ -41,8 +42,9 @@
   void Wrote(GroupId group, session::Key key, const session::Mark& mark);
   void Tick(Time now, std::vector<Out>& out);
   void Take(Time now, const std::string& from, const wire::Packet& packet, std::vector<Out>& out);
-  // Asks those peers that are not covered up to now for their word at once. At most once a millisecond.
-  void Solicit(Time now, std::vector<Out>& out);
+  // Asks those peers that are not covered up to now for their word at once. False: the last time was under
+  // `kSolicitEvery` ago, and nobody was asked.
+  bool Solicit(Time now, std::vector<Out>& out);
   void Leave(Time now, std::vector<Out>& out) { swim_.Leave(now, out); }
 
   // Whether all instances that are known to live count this one among those that answer writes.
@@ -61,7 +63,6 @@
   static constexpr int kChunksAFlush = 8;
   static constexpr std::size_t kReignsAPacket = 8;
   static constexpr Duration kResend{30000};  // without an acknowledgement
-  static constexpr Duration kSolicitEvery{1000};
   static constexpr Duration kReignsEvery{500000};
   static constexpr Duration kSkew{1000000};  // clocks are one, or nearly: for the start of a peer's life
 
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -34,6 +34,7 @@
       keeper_(parts.keeper),
       learnt_(std::move(parts.learnt)),
       tick_(loop_),
+      ask_again_(loop_),
       complaints_(loop_) {}
 
 Peers::~Peers() {
@@ -82,7 +83,9 @@
       std::make_unique<Exchange>(options, std::move(self), std::move(seeds), recovered_, keeper_, life);
   exchange_->OnLog([](const std::string& text) { spdlog::info("peers: {}", text); });
   loop_.poller().Add(g_socket_get_fd(socket_.get()), EPOLLIN, *this);
-  started_ = loop_.Now();
+  // Not the pass, or the moment at which the loop was made: reading the state may have taken seconds since,
+  // and the others would be given so much less to count this instance.
+  started_ = loop_.Precise();
   spdlog::info("peers: instance {} at {}", name_, TextOf(bound.get()));
   Tick();
   return {};
@@ -173,8 +176,13 @@
   return json.dump();
 }
 
+// Word that was asked for before a read came does not cover it: it is asked for again as soon as may be.
 void Peers::Solicit() {
-  exchange_->Solicit(loop_.Precise(), out_);
+  if (ask_again_.armed()) return;
+  const Time now = loop_.Precise();
+  if (!exchange_->Solicit(now, out_)) {
+    return ask_again_.Set(now + Exchange::kSolicitEvery, [this] { Solicit(); });
+  }
   Flush();
 }
 
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -60,6 +60,7 @@
   std::unique_ptr<Exchange> exchange_;
   std::vector<Out> out_;
   net::Timer tick_;
+  net::Timer ask_again_;
   net::LogLimit complaints_;
   members::Part part_ = members::Part::kInDoubt;
   Time started_{};
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -39,9 +39,12 @@
   ++open_;
   requests_[id] = {&client, std::move(ask.work)};
   ask.event.id = id;
-  if (waits_.ask_others && keeper_.WorthHolding(ask.event, loop_.Now())) {
-    ask.event.arrived = loop_.Now();
-    held_.push_back({id, std::move(ask.event), loop_.Now() + keeper_.hold()});
+  // It may have been sent after this pass began, and after a write that another instance has answered since:
+  // what it has to see counts up to the moment at which it is taken.
+  const Time arrived = loop_.Precise();
+  ask.event.arrived = arrived;
+  if (waits_.ask_others && keeper_.WorthHolding(ask.event, arrived)) {
+    held_.push_back({id, std::move(ask.event), loop_.Now(), arrived + keeper_.hold()});
     if (!held_until_.armed()) held_until_.Set(held_.front().until, [this] { ReleaseReads(); });
     waits_.ask_others();
     return;
@@ -66,7 +69,9 @@
     Waiting next = std::move(held_.front());
     held_.pop_front();
     if (!requests_.contains(next.id) || Over(next.id)) continue;
-    next.event.time_left -= loop_.Now() - *next.event.arrived;
+    // Its time runs from the clock by which its deadline was told.
+    next.event.held = loop_.Now() - next.from;
+    next.event.time_left -= next.event.held;
     Begin(next.id, std::move(next.event));
   }
   held_until_.Clear();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -100,6 +100,7 @@
   struct Waiting {
     RequestId id{};
     RequestEvent event;
+    Time from{};  // the pass that took it
     Time until{};
   };
   std::deque<Waiting> held_;
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -270,7 +270,7 @@
 
 bool Store::WhenSafe(std::function<void()> call) {
   if (safe_ >= tickets_) return false;
-  waiters_.push_back({tickets_, std::move(call), loop_.Now() + setup_.stall});
+  waiters_.push_back({tickets_, std::move(call), loop_.Precise() + setup_.stall});
   return true;
 }
 
@@ -342,14 +342,24 @@
 }
 
 void Store::Beat() {
-  beat_.After(kClockEvery / 2, [this] { Beat(); });
+  // Time for which this loop, or the whole process, stood still is not the disk's: answers would go out
+  // before their writes are safe.
+  const Duration late = beat_due_ == Time{} ? Duration{0} : loop_.Now() - beat_due_;
+  if (late > kClockEvery / 2) {
+    for (Waiter& waiter : waiters_) waiter.until += late;
+  }
+  beat_due_ = loop_.Now() + kClockEvery / 2;
+  beat_.Set(beat_due_, [this] { Beat(); });
   std::string fault;
   std::size_t queued = 0;
+  std::uint64_t done = 0;
   {
     const std::lock_guard lock(mutex_);
     fault = std::exchange(fault_, {});
     queued = queued_;
+    done = done_;
   }
+  Release(done);
   // A disk that hangs must not hold answers for ever: they go on without it.
   while (!waiters_.empty() && waiters_.front().until <= loop_.Now()) {
     if (stalls_++ == 0)
--- a/src/state/store.h
+++ b/src/state/store.h
@@ -111,6 +111,7 @@
   std::deque<Waiter> waiters_;
   net::Timer beat_, go_on_;
   Time last_clock_{};
+  Time beat_due_{};
   Time failed_{};
   std::uint64_t stalls_ = 0;
   int wake_ = -1;
--- a/src/upstream/backend.cpp
+++ b/src/upstream/backend.cpp
@@ -123,7 +123,7 @@
   connection_ = net::Connection::Open(loop_, address, *this, pg::kRingLimit, pg::kRingLimit, full);
   if (connection_ == nullptr) return false;
   // A machine that has vanished says nothing: an opening that hangs ends here.
-  opening_.After(within, [this] { Lost(); });
+  opening_.Set(loop_.Precise() + within, [this] { Lost(); });
   return true;
 }
 
@@ -143,12 +143,14 @@
 void Backend::Run(std::shared_ptr<Job> job) {
   job_ = std::move(job);
   job_->backend = this;
-  job_->written = loop_.Now();
+  const Time now = loop_.Precise();
+  job_->written = now;
   job_->connect.Clear();
   reply_ = Reply();
   asked_ = false;
   std::string query;
-  pg::AppendQuery(query, job_->probe() ? "SHOW pressure" : job_->work->TextFor(job_->until - loop_.Now()));
+  // What is told is what is left as it is written, not as this pass began.
+  pg::AppendQuery(query, job_->probe() ? "SHOW pressure" : job_->work->TextFor(job_->until - now));
   // A client's largest statement fits the ring, so this is refused only by a connection that broke unseen.
   asked_ = connection_->Write(query);
   if (!asked_) return Lost();
--- a/src/upstream/pool.cpp
+++ b/src/upstream/pool.cpp
@@ -64,20 +64,24 @@
   job->attempt = attempt;
   job->work = std::move(work);
   attempts_[{request, attempt}] = job;
+  // What was decided counts from the clock that decided, however far this pass has come since.
   if (times.write_within != Duration::max()) job->write_by = loop_.Now() + times.write_within;
-  Start(std::move(job), times.limit);
+  job->until = loop_.Now() + times.limit;
+  Start(std::move(job));
 }
 
 void Pool::Probe(MemberId member) {
   if (probes_.contains(member)) return;  // its end will serve for both
   auto job = std::make_shared<Job>(loop_, member);
   probes_[member] = job;
-  Start(std::move(job), settings_.connect_timeout);
+  job->until = loop_.Precise() + settings_.connect_timeout;
+  Start(std::move(job));
 }
 
-void Pool::Start(std::shared_ptr<Job> job, Duration limit) {
-  job->since = loop_.Now();
-  job->until = job->since + limit;
+// What begins here counts from here: in a long pass a connection would have been given up, and its data
+// server blamed, before it could be heard.
+void Pool::Start(std::shared_ptr<Job> job) {
+  job->since = loop_.Precise();
   Server* server = Find(job->member);
   if (server == nullptr || !server->address) return EndJob(job, Outcome::kUnreachable);
   const std::weak_ptr<Job> weak = job;
@@ -131,7 +135,7 @@
   held->backend = nullptr;
   if (Server* server = Find(held->member)) std::erase(server->waiting, held);
   // Time spent waiting for a connection, or opening one, says nothing of how fast a data server answers.
-  const Duration taken = loop_.Now() - held->written.value_or(held->since);
+  const Duration taken = std::max(Duration{0}, loop_.Now() - held->written.value_or(held->since));
   if (held->probe()) {
     probes_.erase(held->member);
     events_->OnProbeEnd({held->member, outcome, taken, report});
@@ -157,15 +161,16 @@
           rested == server.idle.rend() ? std::prev(server.idle.end()) : std::prev(rested.base());
       Backend* backend = *taken;
       server.idle.erase(taken);
-      // A server that restarted or closed while the connection stood idle has left an end unread.
-      if (!backend->Sound()) {
+      // A server that restarted or closed while the connection stood idle has left an end unread. One that is
+      // about to close for its age is not seen: between two retirements, or as this loop stood still.
+      if (!backend->Sound() || Old(*backend)) {
         Remove(*backend);
         continue;
       }
       const std::shared_ptr<Job> job = server.waiting.front();
       server.waiting.pop_front();
       // The connection may have come up long after the send was decided, and this loop may have stood still.
-      if (loop_.Precise() >= job->write_by) {
+      if (loop_.Precise() >= std::min(job->write_by, job->until)) {
         server.idle.push_back(backend);
         EndJob(job, Outcome::kUnreachable);
         continue;
@@ -244,12 +249,14 @@
                 static_cast<std::uint32_t>(server.member), what, left_out);
 }
 
-void Pool::Retire() {
+bool Pool::Old(const Backend& backend) const {
   const Duration most(static_cast<std::int64_t>(kIdlePart * static_cast<double>(settings_.idle.count())));
+  return loop_.Precise() - backend.idle_since() >= most;
+}
+
+void Pool::Retire() {
   for (auto& [id, server] : servers_) {
-    while (!server->idle.empty() && loop_.Now() - server->idle.front()->idle_since() >= most) {
-      Remove(*server->idle.front());
-    }
+    while (!server->idle.empty() && Old(*server->idle.front())) Remove(*server->idle.front());
   }
   // Data servers are replaced all day long: what is not forgotten here only ever grows.
   std::erase_if(servers_, [](const auto& item) {
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -39,12 +39,12 @@
   RequestId request{};
   AttemptNumber attempt = 0;
   std::shared_ptr<const proxy::Work> work;  // null: a probe
-  Time since{};
-  std::optional<Time> written{};  // when it got its connection
-  Time until{};
-  Time write_by = Time::max();  // its last byte goes out before, or not at all
-  net::Timer limit;             // when the pooler stops waiting
-  net::Timer connect;           // when a connection must have been had, and all be written
+  Time since{};                             // when a connection was first wanted
+  std::optional<Time> written{};            // when it got its connection
+  Time until{};                             // when nobody waits for it any more
+  Time write_by = Time::max();              // its last byte goes out before, or not at all
+  net::Timer limit;                         // when the pooler stops waiting
+  net::Timer connect;                       // when a connection must have been had, and all be written
   Backend* backend = nullptr;
   bool probe() const { return work == nullptr; }
 };
@@ -79,7 +79,7 @@
   using JobKey = std::pair<RequestId, AttemptNumber>;
 
   Server* Find(MemberId member);
-  void Start(std::shared_ptr<Job> job, Duration limit);
+  void Start(std::shared_ptr<Job> job);
   // Its last byte has not gone out in time: it must not go out any more.
   void WrittenLate(const std::shared_ptr<Job>& job);
   void Dispatch(Server& server);
@@ -89,6 +89,8 @@
               std::optional<Report> report = {}, std::optional<proxy::Answer> answer = {},
               bool unusable = false);
   void GiveUp(const std::shared_ptr<Job>& job, Outcome if_written);
+  // Whether it has been idle for so long that its server may be about to close it.
+  bool Old(const Backend& backend) const;
   void Retire();
   void Complain(const Server& server, std::string_view what);
 
