--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -195,8 +195,9 @@
   }
 }
 
-void Exchange::Solicit(Time now, std::vector<Out>& out) {
-  if (options_.members_only || now - solicited_ < kSolicitEvery) return;
+bool Exchange::Solicit(Time now, std::vector<Out>& out) {
+  if (options_.members_only) return true;
+  if (now - solicited_ < kSolicitEvery) return false;
   solicited_ = now;
   for (auto& [name, link] : links_) {
     const auto peer = swim_.peers().find(name);
@@ -205,6 +206,7 @@
       Flush(now, name, link, true, out);
     }
   }
+  return true;
 }
 
 void Exchange::Flush(Time now, const std::string& name, Link& link, bool solicit, std::vector<Out>& out) {
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -37,6 +37,7 @@
     double packets_per_s = 2000;  // with many peers flushes are spread out to stay under this
     bool members_only = false;    // nothing is told of marks and reigns, and nobody is ever covered
   };
+  static constexpr Duration kSolicitEvery{1000};
   struct Counts {
     std::uint64_t marks_in = 0, marks_out = 0, packets_out = 0, syncs = 0, directory_out = 0;
   };
@@ -49,8 +50,9 @@
   void Wrote(GroupId group, session::Key key, const session::Mark& mark);
   void Tick(Time now, std::vector<Out>& out);
   void Take(Time now, const std::string& from, const wire::Packet& packet, std::vector<Out>& out);
-  // Asks those peers that are not covered up to now for their word at once. At most once a millisecond.
-  void Solicit(Time now, std::vector<Out>& out);
+  // Asks those peers that are not covered up to now for their word at once. False: the last time was under
+  // `kSolicitEvery` ago, and nobody was asked.
+  bool Solicit(Time now, std::vector<Out>& out);
   void Leave(Time now, std::vector<Out>& out) { swim_.Leave(now, out); }
 
   // With a directory: rules R and W, and what has to be asked for them (see directory::Directory). Without
@@ -78,7 +80,6 @@
   static constexpr int kChunksAFlush = 8;
   static constexpr std::size_t kReignsAPacket = 8;
   static constexpr Duration kResend{30000};  // without an acknowledgement
-  static constexpr Duration kSolicitEvery{1000};
   static constexpr Duration kReignsEvery{500000};
   static constexpr Duration kSkew{1000000};  // clocks are one, or nearly: for the start of a peer's life
 
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -54,6 +54,7 @@
       passes_(std::move(parts.passes)),
       members_only_(parts.members_only),
       tick_(loop_),
+      ask_again_(loop_),
       complaints_(loop_) {}
 
 Peers::~Peers() {
@@ -114,7 +115,9 @@
   exchange_->OnLog([](const std::string& text) { spdlog::info("peers: {}", text); });
   if (exchange_->directory() != nullptr) keeper_.SetHolding(this);
   loop_.poller().Add(g_socket_get_fd(socket_.get()), EPOLLIN, *this);
-  started_ = loop_.Now();
+  // Not the pass, or the moment at which the loop was made: reading the state may have taken seconds since,
+  // and the others would be given so much less to count this instance.
+  started_ = loop_.Precise();
   spdlog::info("peers: instance {} at {}", name_, TextOf(bound.get()));
   Tick();
   return {};
@@ -254,9 +257,14 @@
   if (learnt_) learnt_();
 }
 
+// Word that was asked for before a read came does not cover it: it is asked for again as soon as may be.
 void Peers::Solicit() {
   if (exchange_->directory() != nullptr) return;  // what there is to ask has been asked
-  exchange_->Solicit(loop_.Precise(), out_);
+  if (ask_again_.armed()) return;
+  const Time now = loop_.Precise();
+  if (!exchange_->Solicit(now, out_)) {
+    return ask_again_.Set(now + Exchange::kSolicitEvery, [this] { Solicit(); });
+  }
   Flush();
 }
 
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -86,6 +86,7 @@
   std::vector<Out> out_;
   std::vector<Unheld> unheld_;
   net::Timer tick_;
+  net::Timer ask_again_;
   net::LogLimit complaints_;
   members::Part part_ = members::Part::kInDoubt;
   Time started_{};
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -41,9 +41,12 @@
   requests_[id] = {&client, std::move(ask.work)};
   requests_[id].until = loop_.Now() + ask.event.time_left - margin_;
   ask.event.id = id;
-  if (waits_.ask_others && keeper_.WorthHolding(ask.event, loop_.Now())) {
-    ask.event.arrived = loop_.Now();
-    held_.push_back({id, std::move(ask.event), loop_.Now() + keeper_.hold()});
+  // It may have been sent after this pass began, and after a write that another instance has answered since:
+  // what it has to see counts up to the moment at which it is taken.
+  const Time arrived = loop_.Precise();
+  ask.event.arrived = arrived;
+  if (waits_.ask_others && keeper_.WorthHolding(ask.event, arrived)) {
+    held_.push_back({id, std::move(ask.event), loop_.Now(), arrived + keeper_.hold()});
     if (!held_until_.armed()) held_until_.Set(held_.front().until, [this] { ReleaseReads(); });
     waits_.ask_others();
     return;
@@ -69,7 +72,8 @@
       continue;
     }
     if (!requests_.contains(next.id) || Over(next.id)) continue;
-    const Duration held = loop_.Now() - *next.event.arrived;
+    // Its time runs from the clock by which its deadline was told.
+    const Duration held = loop_.Now() - next.from;
     next.event.waited += held;
     next.event.time_left -= held;
     Begin(next.id, std::move(next.event));
