--- a/tests/times_elsewhere_test.cpp
+++ b/tests/times_elsewhere_test.cpp
@@ -201,6 +201,17 @@
   CHECK(a.ends[0].taken >= Duration{0});
 }
 
+TEST_CASE("an attempt that ends in the pass in which it began has taken no time, not less") {
+  Attempts a;
+  InAPass(a.loop, [&] {
+    StandStill(50);
+    a.pool.Send(RequestId(1), 0, MemberId(9), a.work, {1000 * kMs, Duration::max()});
+  });
+  REQUIRE(a.ends.size() == 1);
+  CHECK(a.ends[0].outcome == Outcome::kUnreachable);
+  CHECK(a.ends[0].taken == Duration{0});
+}
+
 TEST_CASE("a connection that has been idle for too long is not used between two retirements") {
   upstream::PoolSettings settings;
   settings.idle = 300 * kMs;
