Count the disk's wait from the pass again: the loop's own standstills are taken off anyway

Seen: with the wait counted from the moment itself taken out, its case still passed, as the beat that comes late adds the pass to every wait; the change did nothing but lengthen it. Result: the case passes, and fails where the beat adds nothing.

--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -270,7 +270,7 @@
 
 bool Store::WhenSafe(std::function<void()> call) {
   if (safe_ >= tickets_) return false;
-  waiters_.push_back({tickets_, std::move(call), loop_.Precise() + setup_.stall});
+  waiters_.push_back({tickets_, std::move(call), loop_.Now() + setup_.stall});
   return true;
 }
 
