--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -4,10 +4,12 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <set>
 
 #include "instance.h"
+#include "pooler_process.h"
 #include "scale_databases.h"
 #include "scale_host.h"
 #include "scale_script.h"
@@ -262,5 +264,89 @@
   CHECK(seam.loop.timers() == 0);
 }
 
+// Two instances on one loop that speak over real sockets.
+struct Pair {
+  explicit Pair(bool members_only) {
+    spec.folder = folder.path();
+    folder.Write("key", "1 " + std::string(64, 'a') + "\n");
+    spec.poolers = 2;
+    spec.udp = {FreePort(true), FreePort(true)};
+    spec.discovery = 1;  // nobody answers there
+    for (std::size_t i = 0; i < 2; ++i) {
+      auto read = ReadConfig(ScaleConfigOf(spec, static_cast<int>(i), 1));
+      config[i] = std::move(std::get<Config>(read));
+      auto settings = ReadSetup(ScaleSettingsOf(spec, static_cast<int>(i), {0, 1}, 0));
+      setup[i] = std::move(std::get<Setup>(settings));
+      Instance::Host host;
+      host.address = [](MemberId, const net::Address&) {};
+      host.forget = [](MemberId) {};
+      host.make_peers = [this, members_only](peers::Parts parts) {
+        parts.passes = [this](const std::string& address) {
+          asked.insert(address);
+          return !cut;
+        };
+        parts.members_only = members_only;
+        return peers::Load(std::move(parts));
+      };
+      instance[i] = std::make_unique<Instance>(loop, config[i], setup[i], backends, host);
+      const std::string fault = instance[i]->Start();
+      REQUIRE(fault == "");
+    }
+  }
+  void Pass(Duration time) {
+    net::Timer end(loop);
+    end.After(time, [this] { loop.Stop(); });
+    loop.Run();
+  }
+  // The limit is for what never will.
+  bool Until(const std::function<bool()>& holds) {
+    for (int i = 0; i < 3000 && !holds(); ++i) Pass(Duration(10000));
+    return holds();
+  }
+  const peers::Traffic& Of(std::size_t i) const { return instance[i]->peers()->traffic(); }
+  static constexpr auto kMembers = static_cast<std::size_t>(peers::Kind::kMembership);
+  static constexpr auto kMarks = static_cast<std::size_t>(peers::Kind::kMarks);
+
+  net::Loop loop;
+  Folder folder;
+  ScaleSpec spec;
+  std::array<Config, 2> config;
+  std::array<Setup, 2> setup;
+  Silent backends;
+  bool cut = false;
+  std::set<std::string> asked;
+  std::array<std::unique_ptr<Instance>, 2> instance;
+};
+
+TEST_CASE("an instance counts what it says by kind, and its host cuts its links") {
+  Pair pair(false);
+  REQUIRE(pair.Until([&] { return pair.instance[0]->Counted() && pair.instance[1]->Counted(); }));
+  CHECK(pair.instance[0]->peers()->Reached() == 2);
+  for (const std::size_t kind : {Pair::kMembers, Pair::kMarks}) {
+    CHECK(pair.Of(0).out[kind].packets > 0);
+    CHECK(pair.Of(1).in[kind].packets > 0);
+    CHECK(pair.Of(1).in[kind].packets <= pair.Of(0).out[kind].packets);
+    CHECK(pair.Of(1).in[kind].bytes <= pair.Of(0).out[kind].bytes);
+    CHECK(pair.Of(0).out[kind].bytes > pair.Of(0).out[kind].packets * peers::Traffic::kHeads);
+  }
+  CHECK(pair.asked.size() == 2);
+  pair.cut = true;
+  const auto out = pair.Of(0).out[Pair::kMarks].bytes;
+  CHECK(pair.Until([&] { return pair.instance[0]->peers()->Reached() == 1; }));
+  CHECK(pair.Of(0).out[Pair::kMarks].bytes == out);
+  pair.cut = false;
+  CHECK(pair.Until([&] { return pair.instance[0]->peers()->Reached() == 2; }));
+  CHECK(pair.Until([&] { return pair.Of(0).out[Pair::kMarks].bytes > out; }));
+}
+
+TEST_CASE("where a host asks for membership alone, nothing is said of marks") {
+  Pair pair(true);
+  REQUIRE(pair.Until([&] { return pair.instance[0]->peers()->Reached() == 2; }));
+  pair.Pass(Duration(300000));
+  CHECK(pair.Of(0).out[Pair::kMembers].packets > 0);
+  CHECK(pair.Of(0).out[Pair::kMarks].packets == 0);
+  CHECK(pair.Of(1).in[Pair::kMarks].bytes == 0);
+}
+
 }  // namespace
 }  // namespace lynxgrade::lab
