--- a/lab/scale_host.cpp
+++ b/lab/scale_host.cpp
@@ -33,6 +33,7 @@
 constexpr Duration kProbeWork{500};
 constexpr Duration kGone{1000};  // until a connection to a dead machine is refused
 constexpr Duration kLoadEvery{5000};
+constexpr Duration kMostLoad{100000};  // asked for at once
 constexpr Duration kBetweenStarts{2000};
 constexpr ClassIndex kOwnRead = 1, kHistoryRead = 2, kMatchWrite = 3;  // as ConfigFor orders them
 constexpr double kOwnReads = 0.5;                                      // of all reads
@@ -231,6 +232,7 @@
   std::vector<bool> side_;  // by pooler, where the network is cut
   std::mt19937_64 random_;
   net::Timer load_, starts_;
+  std::optional<Time> loaded_;  // up to when statements have been asked
   std::string line_;
   std::size_t memory_before_ = 0, descriptors_before_ = 0;
 };
@@ -527,13 +529,17 @@
 
 void Host::Load() {
   load_.After(kLoadEvery, [this] { Load(); });
+  // A loop that is late asks for the time that has passed; one that stood still does not make up for it all.
+  const Time now = loop_.Now();
+  const Duration passed = loaded_ ? std::min(now - *loaded_, kMostLoad) : kLoadEvery;
+  loaded_ = now;
   const std::int64_t module = counts_.module_us, peers = counts_.peers_us, from = ThreadUs();
   const auto uniform = [this] { return std::uniform_real_distribution<double>(0, 1)(random_); };
   const std::size_t homes = sessions_.size() / kSessionsEach;
   for (auto& [number, hollow] : hollow_) {
     // Of an instance that has just started nothing is asked, as its port is not open yet.
     if (!hollow->instance().listed() || !hollow->instance().Counted()) continue;
-    const double mean = spec_.statements_per_s * static_cast<double>(kLoadEvery.count()) * 1e-6;
+    const double mean = spec_.statements_per_s * static_cast<double>(passed.count()) * 1e-6;
     const int count = std::poisson_distribution<int>(mean)(random_);
     for (int i = 0; i < count; ++i) {
       const std::size_t home =
@@ -553,6 +559,7 @@
   std::uint64_t listed = 0;
   std::map<int, std::size_t> reached;
   Json of_parts = Json::object();
+  int stalls = 0;
   for (const auto& [number, hollow] : hollow_) {
     const Instance& instance = hollow->instance();
     all.Add(instance);
@@ -560,6 +567,7 @@
     reached[number] = instance.peers()->Reached();
     if (parts) {
       const Json said = Json::parse(instance.peers()->Describe());
+      stalls += said.at("stalls").get<int>();
       const std::string part = said.at("part");
       of_parts[part] = of_parts.value(part, 0) + 1;
     }
@@ -575,6 +583,7 @@
           {"listed", listed},
           {"reached", reached},
           {"parts", of_parts},
+          {"stalls", stalls},
           {"traffic", kinds},
           {"statements", counts_.statements},
           {"writes", counts_.writes},
--- a/lab/scale_run.cpp
+++ b/lab/scale_run.cpp
@@ -480,6 +480,8 @@
     const double statements = to["statements"] - from["statements"];
     Tell("statements", statements);
     Tell("writes", to["writes"] - from["writes"]);
+    Tell("writes_per_s_in_fleet", (to["writes"] - from["writes"]) / seconds);
+    Tell("statements_answered_per_s", rate("statements"));
     Tell("own_reads", to["own_reads"] - from["own_reads"]);
     Tell("refused", to["refused"] - from["refused"]);
     Tell("failed", to["failed"] - from["failed"]);
@@ -513,6 +515,9 @@
     std::map<std::string, double> parts;
     const auto answers = Answers("end");
     ending_ = true;
+    double stalls = 0;
+    for (const Json& of : answers) stalls += of.at("stalls").get<double>();
+    Tell("stalls", stalls);  // loops that stood still for a period: the machine was too busy for the size
     for (const Json& of : answers) {
       for (const auto& [part, count] : of.at("parts").items()) parts[part] += count.get<double>();
     }
