--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -94,13 +94,17 @@
   of_members->add_option("--json", members.json, "also write the figures to this file");
   of_members->add_flag("--logs", members.keep_logs, "say where the poolers' logs are while it runs");
   ScaleOptions scale;
-  CLI::App* of_scale = run->add_subcommand("scale", "hollow poolers by the hundred beside real ones, by a script");
+  CLI::App* of_scale =
+      run->add_subcommand("scale", "hollow poolers by the hundred beside real ones, by a script");
   of_scale->add_option("--poolers", scale.poolers, "how many, the real ones among them");
   of_scale->add_option("--databases", scale.databases, "how many, in groups of three");
   of_scale->add_option("--real", scale.real, "real processes among the poolers");
   of_scale->add_option("--script", scale.script,
                        "quiet, load, primaries, replaced, rack, zone, regions or configuration");
   of_scale->add_option("--marks", scale.marks, "how sessions' marks are exchanged: each, or none at all");
+  of_scale->add_option(
+      "--scope", scale.scope,
+      "of the sessions' guarantee: everywhere, or instance, in which the judge finds stale reads");
   of_scale->add_option("--seed", scale.seed, "for all that is drawn");
   of_scale->add_option("--seconds", scale.seconds, "measured, once all have met");
   of_scale->add_option("--statements-per-s", scale.statements_per_s, "of each hollow pooler");
--- a/lab/scale_host.cpp
+++ b/lab/scale_host.cpp
@@ -96,7 +96,8 @@
   std::uint64_t probes = 0, marked = 0, floored = 0, turned = 0;
 
   void Add(const Instance& instance) {
-    const peers::Traffic& more = instance.peers()->traffic();
+    static const peers::Traffic kNone;
+    const peers::Traffic& more = instance.peers() != nullptr ? instance.peers()->traffic() : kNone;
     for (std::size_t kind = 0; kind < peers::kKinds.size(); ++kind) {
       traffic.out[kind].packets += more.out[kind].packets;
       traffic.out[kind].bytes += more.out[kind].bytes;
@@ -564,9 +565,10 @@
     const Instance& instance = hollow->instance();
     all.Add(instance);
     listed += instance.data_servers() == databases_.size();
-    reached[number] = instance.peers()->Reached();
-    if (parts) {
-      const Json said = Json::parse(instance.peers()->Describe());
+    const peers::Service* peers = instance.peers();
+    reached[number] = peers != nullptr ? peers->Reached() : static_cast<std::size_t>(spec_.poolers);
+    if (parts && peers != nullptr) {
+      const Json said = Json::parse(peers->Describe());
       stalls += said.at("stalls").get<int>();
       const std::string part = said.at("part");
       of_parts[part] = of_parts.value(part, 0) + 1;
@@ -630,9 +632,10 @@
     if (other == pooler) continue;
     seeds += (seeds.empty() ? "" : ", ") + at(spec.udp[static_cast<std::size_t>(other)]);
   }
-  std::string text = "[sessions]\nscope = \"everywhere\"\nrecall_s = 10\n[peers]\nlisten = " +
-                     at(spec.udp[static_cast<std::size_t>(pooler)]) + "\nseeds = [" + seeds +
-                     "]\nkey_file = \"" + spec.folder + "/key\"\n";
+  std::string text = "[sessions]\nscope = \"" + spec.scope + "\"\nrecall_s = 10\n";
+  if (spec.scope != "everywhere") return text;
+  text += "[peers]\nlisten = " + at(spec.udp[static_cast<std::size_t>(pooler)]) + "\nseeds = [" + seeds +
+          "]\nkey_file = \"" + spec.folder + "/key\"\n";
   if (control > 0) text += "[control]\nlisten = " + at(control) + "\n";
   return text;
 }
--- a/lab/scale_host.h
+++ b/lab/scale_host.h
@@ -13,6 +13,7 @@
 // What the coordinator and its hosts agree on at the start; written to a file as JSON.
 struct ScaleSpec {
   std::string folder;  // for files of all
+  std::string scope;   // of the sessions' guarantee
   std::string marks;   // how they are exchanged
   int poolers = 0, real = 0;
   int alone = 0;  // hollow poolers with a process of their own: the first
@@ -23,8 +24,8 @@
   std::vector<int> endpoints;  // port of each database, in the order of groups
   int discovery = 0;           // port
   double statements_per_s = 0, writes_share = 0, roam_share = 0;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(ScaleSpec, folder, marks, poolers, real, alone, hosts, seed, udp, groups,
-                                 endpoints, discovery, statements_per_s, writes_share, roam_share)
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(ScaleSpec, folder, scope, marks, poolers, real, alone, hosts, seed, udp,
+                                 groups, endpoints, discovery, statements_per_s, writes_share, roam_share)
 
   // The processes of those alone come first.
   int HostOf(int pooler) const {
--- a/lab/scale_run.cpp
+++ b/lab/scale_run.cpp
@@ -186,6 +186,7 @@
       spec_.groups.push_back(std::min(left, kMembersAGroup));
     }
     spec_.folder = folder_.path();
+    spec_.scope = options.scope;
     spec_.marks = options.marks;
     spec_.poolers = options.poolers;
     spec_.real = options.real;
@@ -652,6 +653,7 @@
                      {"roam_share", load ? options_.roam_share : 0},
                      {"changes_per_s", ChangesPerS(options_)},
                      {"marks", options_.marks},
+                     {"scope", options_.scope},
                      {"commit", options_.commit}}},
                    {"figures", figures_}};
     std::ofstream(options_.json) << record.dump(2) << '\n';
--- a/lab/scale_script.cpp
+++ b/lab/scale_script.cpp
@@ -70,6 +70,9 @@
   if (options.marks != "each" && options.marks != "none") {
     return "marks cannot be exchanged by \"" + options.marks + "\": each, none";
   }
+  if (options.scope != "everywhere" && options.scope != "instance") {
+    return "the sessions' scope is not \"" + options.scope + "\": everywhere, instance";
+  }
   for (const std::string& wrong :
        {range("poolers", options.poolers, 3, kMostPoolers),
         range("databases", options.databases, 1, kMostDatabases), range("real", options.real, 0, kMostReal),
@@ -84,6 +87,9 @@
   if (options.marks == "none" && options.real > 0) {
     return "real poolers exchange marks: --marks none is played with --real 0 alone";
   }
+  if (options.scope == "instance" && options.real > 0) {
+    return "real poolers are asked through their peers: --scope instance is played with --real 0 alone";
+  }
   const int hollow = options.poolers - options.real;
   if (HostsFor(options) + options.alone > hollow) {
     return "there are more processes for hollow poolers than hollow poolers: " +
--- a/lab/scale_script.h
+++ b/lab/scale_script.h
@@ -18,6 +18,8 @@
   int real = 2;
   std::string script = "quiet";
   std::string marks = "each";  // how sessions' marks are exchanged; "none": membership alone
+  std::string scope =
+      "everywhere";  // of the sessions' guarantee; "instance": the judge has to see stale reads
   std::uint64_t seed = 1;
   int seconds = 20;              // measured, after all have met
   double statements_per_s = 50;  // of a hollow pooler, where the script has a load
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -31,6 +31,8 @@
   };
   CHECK(refused([](auto& o) { o.script = "flood"; }).find("there is no script \"flood\": quiet, ") == 0);
   CHECK(refused([](auto& o) { o.marks = "some"; }).find("marks") == 0);
+  CHECK(refused([](auto& o) { o.scope = "all"; }).find("the sessions' scope") == 0);
+  CHECK(refused([](auto& o) { o.scope = "instance"; }).find("--real 0") != std::string::npos);
   CHECK(refused([](auto& o) { o.poolers = 2; }) ==
         "--poolers 2 cannot be played: it has to lie between 3 and 1000");
   CHECK(refused([](auto& o) { o.poolers = 1001; }).find("--poolers 1001") == 0);
@@ -149,6 +151,7 @@
 TEST_CASE("the files of a hollow pooler are those that a real one reads") {
   ScaleSpec spec;
   spec.folder = "/nowhere";
+  spec.scope = "everywhere";
   spec.poolers = 3;
   spec.udp = {4001, 4002, 4003};
   spec.discovery = 4000;
@@ -268,6 +271,7 @@
 struct Pair {
   explicit Pair(bool members_only) {
     spec.folder = folder.path();
+    spec.scope = "everywhere";
     folder.Write("key", "1 " + std::string(64, 'a') + "\n");
     spec.poolers = 2;
     spec.udp = {FreePort(true), FreePort(true)};
