--- a/lab/scale_host.cpp
+++ b/lab/scale_host.cpp
@@ -235,20 +235,20 @@
   net::Timer load_, starts_;
   std::optional<Time> loaded_;  // up to when statements have been asked
   std::string line_;
-  std::size_t memory_before_ = 0, descriptors_before_ = 0;
+  double memory_before_ = 0, descriptors_before_ = 0;
 };
 
 // Resident, in KB: what the process has touched.
-std::size_t MemoryKb() {
+double MemoryKb() {
   std::ifstream file("/proc/self/statm");
-  std::size_t all = 0, resident = 0;
+  double all = 0, resident = 0;
   file >> all >> resident;
-  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) / 1024;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
 }
 
-std::size_t Descriptors() {
+double Descriptors() {
   const std::filesystem::directory_iterator all("/proc/self/fd");
-  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+  return static_cast<double>(std::distance(begin(all), end(all)));
 }
 
 // ---- One pooler -----------------------------------------------------------------------------------------
@@ -601,8 +601,8 @@
           {"module_us", counts_.module_us},
           {"apart_us", counts_.apart_us},
           {"peers_us", counts_.peers_us},
-          {"memory_kb_each", static_cast<double>(MemoryKb() - memory_before_) / static_cast<double>(more)},
-          {"descriptors_each", static_cast<double>(Descriptors() - descriptors_before_) /
+          {"memory_kb_each", (MemoryKb() - memory_before_) / static_cast<double>(more)},
+          {"descriptors_each", (Descriptors() - descriptors_before_) /
                                    static_cast<double>(std::max<std::size_t>(1, hollow_.size()))}};
 }
 
