--- a/lab/scale_run.cpp
+++ b/lab/scale_run.cpp
@@ -138,6 +138,11 @@
     text_.erase(0, end + 1);
     return answer;
   }
+  // Waits for its end, once it has been told to; whether that was a good one.
+  bool EndedWell() {
+    g_subprocess_wait(process_.get(), nullptr, nullptr);
+    return g_subprocess_get_successful(process_.get()) != FALSE;
+  }
   int id() const { return id_; }
   bool over() const { return over_; }
 
@@ -233,7 +238,7 @@
     Figures(hollow_from, hollow, real_from, real, calls, told);
     End();
     int crashed = 0;
-    for (const auto& host : hosts_) crashed += host->over() && !ending_;
+    for (const auto& host : hosts_) crashed += !host->EndedWell();
     for (const auto& process : real_) crashed += process->Crashed();
     Tell("crashed", crashed);
     Print();
@@ -515,7 +520,6 @@
   void End() {
     std::map<std::string, double> parts;
     const auto answers = Answers("end");
-    ending_ = true;
     double stalls = 0;
     for (const Json& of : answers) stalls += of.at("stalls").get<double>();
     Tell("stalls", stalls);  // loops that stood still for a period: the machine was too busy for the size
@@ -675,7 +679,6 @@
   net::Timer changes_;
   Time began_{};
   int replaced_ = 0, renamed_ = 0;
-  bool ending_ = false;
   std::map<std::string, double> figures_;
 };
 
