--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -112,6 +112,9 @@
                        "quiet, load, primaries, replaced, rack, zone, regions or configuration");
   of_scale->add_option("--marks", scale.marks,
                        "how sessions' marks are exchanged: each, directory, directory-plain, or none at all");
+  of_scale->add_option(
+      "--scope", scale.scope,
+      "of the sessions' guarantee: everywhere, or instance, in which the judge finds stale reads");
   of_scale->add_option("--seed", scale.seed, "for all that is drawn");
   of_scale->add_option("--seconds", scale.seconds, "measured, once all have met");
   of_scale->add_option("--statements-per-s", scale.statements_per_s, "of each hollow pooler");
--- a/lab/scale_host.cpp
+++ b/lab/scale_host.cpp
@@ -33,6 +33,7 @@
 constexpr Duration kProbeWork{500};
 constexpr Duration kGone{1000};  // until a connection to a dead machine is refused
 constexpr Duration kLoadEvery{5000};
+constexpr Duration kMostLoad{100000};  // asked for at once
 constexpr Duration kBetweenStarts{2000};
 constexpr ClassIndex kOwnRead = 1, kHistoryRead = 2, kMatchWrite = 3;  // as ConfigFor orders them
 constexpr double kOwnReads = 0.5;                                      // of all reads
@@ -95,7 +96,8 @@
   std::uint64_t probes = 0, marked = 0, floored = 0, turned = 0;
 
   void Add(const Instance& instance) {
-    const peers::Traffic& more = instance.peers()->traffic();
+    static const peers::Traffic kNone;
+    const peers::Traffic& more = instance.peers() != nullptr ? instance.peers()->traffic() : kNone;
     for (std::size_t kind = 0; kind < peers::kKinds.size(); ++kind) {
       traffic.out[kind].packets += more.out[kind].packets;
       traffic.out[kind].bytes += more.out[kind].bytes;
@@ -237,21 +239,22 @@
   std::vector<bool> side_;  // by pooler, where the network is cut
   std::mt19937_64 random_;
   net::Timer load_, starts_;
+  std::optional<Time> loaded_;  // up to when statements have been asked
   std::string line_;
-  std::size_t memory_before_ = 0, descriptors_before_ = 0;
+  double memory_before_ = 0, descriptors_before_ = 0;
 };
 
 // Resident, in KB: what the process has touched.
-std::size_t MemoryKb() {
+double MemoryKb() {
   std::ifstream file("/proc/self/statm");
-  std::size_t all = 0, resident = 0;
+  double all = 0, resident = 0;
   file >> all >> resident;
-  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) / 1024;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
 }
 
-std::size_t Descriptors() {
+double Descriptors() {
   const std::filesystem::directory_iterator all("/proc/self/fd");
-  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+  return static_cast<double>(std::distance(begin(all), end(all)));
 }
 
 // ---- One pooler -----------------------------------------------------------------------------------------
@@ -533,13 +536,17 @@
 
 void Host::Load() {
   load_.After(kLoadEvery, [this] { Load(); });
+  // A loop that is late asks for the time that has passed; one that stood still does not make up for it all.
+  const Time now = loop_.Now();
+  const Duration passed = loaded_ ? std::min(now - *loaded_, kMostLoad) : kLoadEvery;
+  loaded_ = now;
   const std::int64_t module = counts_.module_us, peers = counts_.peers_us, from = ThreadUs();
   const auto uniform = [this] { return std::uniform_real_distribution<double>(0, 1)(random_); };
   const std::size_t homes = sessions_.size() / kSessionsEach;
   for (auto& [number, hollow] : hollow_) {
     // Of an instance that has just started nothing is asked, as its port is not open yet.
     if (!hollow->instance().listed() || !hollow->instance().Counted()) continue;
-    const double mean = spec_.statements_per_s * static_cast<double>(kLoadEvery.count()) * 1e-6;
+    const double mean = spec_.statements_per_s * static_cast<double>(passed.count()) * 1e-6;
     const int count = std::poisson_distribution<int>(mean)(random_);
     for (int i = 0; i < count; ++i) {
       const std::size_t home =
@@ -559,13 +566,16 @@
   std::uint64_t listed = 0;
   std::map<int, std::size_t> reached;
   Json of_parts = Json::object();
+  int stalls = 0;
   for (const auto& [number, hollow] : hollow_) {
     const Instance& instance = hollow->instance();
     all.Add(instance);
     listed += instance.data_servers() == databases_.size();
-    reached[number] = instance.peers()->Reached();
-    if (parts) {
-      const Json said = Json::parse(instance.peers()->Describe());
+    const peers::Service* peers = instance.peers();
+    reached[number] = peers != nullptr ? peers->Reached() : static_cast<std::size_t>(spec_.poolers);
+    if (parts && peers != nullptr) {
+      const Json said = Json::parse(peers->Describe());
+      stalls += said.at("stalls").get<int>();
       const std::string part = said.at("part");
       of_parts[part] = of_parts.value(part, 0) + 1;
     }
@@ -581,6 +591,7 @@
           {"listed", listed},
           {"reached", reached},
           {"parts", of_parts},
+          {"stalls", stalls},
           {"traffic", kinds},
           {"statements", counts_.statements},
           {"writes", counts_.writes},
@@ -596,8 +607,8 @@
           {"module_us", counts_.module_us},
           {"apart_us", counts_.apart_us},
           {"peers_us", counts_.peers_us},
-          {"memory_kb_each", static_cast<double>(MemoryKb() - memory_before_) / static_cast<double>(more)},
-          {"descriptors_each", static_cast<double>(Descriptors() - descriptors_before_) /
+          {"memory_kb_each", (MemoryKb() - memory_before_) / static_cast<double>(more)},
+          {"descriptors_each", (Descriptors() - descriptors_before_) /
                                    static_cast<double>(std::max<std::size_t>(1, hollow_.size()))}};
 }
 
@@ -627,9 +638,10 @@
     if (other == pooler) continue;
     seeds += (seeds.empty() ? "" : ", ") + at(spec.udp[static_cast<std::size_t>(other)]);
   }
-  std::string text = "[sessions]\nscope = \"everywhere\"\nrecall_s = 10\n[peers]\nlisten = " +
-                     at(spec.udp[static_cast<std::size_t>(pooler)]) + "\nseeds = [" + seeds +
-                     "]\nkey_file = \"" + spec.folder + "/key\"\n";
+  std::string text = "[sessions]\nscope = \"" + spec.scope + "\"\nrecall_s = 10\n";
+  if (spec.scope != "everywhere") return text;
+  text += "[peers]\nlisten = " + at(spec.udp[static_cast<std::size_t>(pooler)]) + "\nseeds = [" + seeds +
+          "]\nkey_file = \"" + spec.folder + "/key\"\n";
   if (spec.marks != "none") text += "marks = \"" + spec.marks + "\"\n";
   if (control > 0) text += "[control]\nlisten = " + at(control) + "\n";
   return text;
--- a/lab/scale_run.cpp
+++ b/lab/scale_run.cpp
@@ -138,6 +138,11 @@
     text_.erase(0, end + 1);
     return answer;
   }
+  // Waits for its end, once it has been told to; whether that was a good one.
+  bool EndedWell() {
+    g_subprocess_wait(process_.get(), nullptr, nullptr);
+    return g_subprocess_get_successful(process_.get()) != FALSE;
+  }
   int id() const { return id_; }
   bool over() const { return over_; }
 
@@ -186,6 +191,7 @@
       spec_.groups.push_back(std::min(left, kMembersAGroup));
     }
     spec_.folder = folder_.path();
+    spec_.scope = options.scope;
     spec_.marks = options.marks;
     spec_.poolers = options.poolers;
     spec_.real = options.real;
@@ -232,7 +238,7 @@
     Figures(hollow_from, hollow, real_from, real, calls, told);
     End();
     int crashed = 0;
-    for (const auto& host : hosts_) crashed += host->over() && !ending_;
+    for (const auto& host : hosts_) crashed += !host->EndedWell();
     for (const auto& process : real_) crashed += process->Crashed();
     Tell("crashed", crashed);
     Print();
@@ -480,6 +486,8 @@
     const double statements = to["statements"] - from["statements"];
     Tell("statements", statements);
     Tell("writes", to["writes"] - from["writes"]);
+    Tell("writes_per_s_in_fleet", (to["writes"] - from["writes"]) / seconds);
+    Tell("statements_answered_per_s", rate("statements"));
     Tell("own_reads", to["own_reads"] - from["own_reads"]);
     Tell("refused", to["refused"] - from["refused"]);
     Tell("failed", to["failed"] - from["failed"]);
@@ -512,7 +520,9 @@
   void End() {
     std::map<std::string, double> parts;
     const auto answers = Answers("end");
-    ending_ = true;
+    double stalls = 0;
+    for (const Json& of : answers) stalls += of.at("stalls").get<double>();
+    Tell("stalls", stalls);  // loops that stood still for a period: the machine was too busy for the size
     for (const Json& of : answers) {
       for (const auto& [part, count] : of.at("parts").items()) parts[part] += count.get<double>();
     }
@@ -647,6 +657,7 @@
                      {"roam_share", load ? options_.roam_share : 0},
                      {"changes_per_s", ChangesPerS(options_)},
                      {"marks", options_.marks},
+                     {"scope", options_.scope},
                      {"commit", options_.commit}}},
                    {"figures", figures_}};
     std::ofstream(options_.json) << record.dump(2) << '\n';
@@ -668,7 +679,6 @@
   net::Timer changes_;
   Time began_{};
   int replaced_ = 0, renamed_ = 0;
-  bool ending_ = false;
   std::map<std::string, double> figures_;
 };
 
--- a/lab/scale_script.cpp
+++ b/lab/scale_script.cpp
@@ -71,6 +71,9 @@
   if (std::ranges::find(ways, options.marks) == ways.end()) {
     return "marks cannot be exchanged by \"" + options.marks + "\": each, directory, directory-plain, none";
   }
+  if (options.scope != "everywhere" && options.scope != "instance") {
+    return "the sessions' scope is not \"" + options.scope + "\": everywhere, instance";
+  }
   for (const std::string& wrong :
        {range("poolers", options.poolers, 3, kMostPoolers),
         range("databases", options.databases, 1, kMostDatabases), range("real", options.real, 0, kMostReal),
@@ -85,6 +88,9 @@
   if (options.marks == "none" && options.real > 0) {
     return "real poolers exchange marks: --marks none is played with --real 0 alone";
   }
+  if (options.scope == "instance" && options.real > 0) {
+    return "real poolers are asked through their peers: --scope instance is played with --real 0 alone";
+  }
   const int hollow = options.poolers - options.real;
   if (HostsFor(options) + options.alone > hollow) {
     return "there are more processes for hollow poolers than hollow poolers: " +
