--- a/tests/directory_exchange_test.cpp
+++ b/tests/directory_exchange_test.cpp
@@ -21,6 +21,7 @@
 
 #include "peers/exchange.h"
 #include "setup.h"
+#include "world.h"
 
 namespace lynxgrade::peers {
 namespace {
@@ -578,6 +579,51 @@
   }
 }
 
+// An answer that has run and may not be told yet: it goes out when it may be, or fails at its request's end.
+TEST_CASE("proxy: a write's answer waits until its session is held, and fails at the end of its request") {
+  for (const int granted_after_ms : {0, 60, -1}) {
+    CAPTURE(granted_after_ms);
+    World w;
+    DataServer& server =
+        w.Serve([](lynxgrade::Peer& p, const std::string&) { p.Say(Row("1", "primary", "1000")); });
+    server.report = "x1=1,x0=1";
+    std::function<void()> held;
+    std::vector<session::Key> asked;
+    proxy::Proxy::Waits waits;
+    waits.safe = [&](GroupId group, session::Key key, std::function<void()> call) {
+      CHECK(group == GroupId(2));
+      asked.push_back(key);
+      held = std::move(call);
+      return granted_after_ms != 0;
+    };
+    w.proxy.SetWaits(std::move(waits));
+    w.List();
+    const Time begun = w.loop.Now();
+    lynxgrade::Peer& client = w.Client({Ask("write", "k", 400)});
+    w.Until([&] { return !asked.empty(); });
+    CHECK(asked[0] == session::KeyOf(GroupId(2), "k"));
+    if (granted_after_ms > 0) {
+      w.Until([&] { return w.loop.Now() - begun > kMs * granted_after_ms; });
+      CHECK(client.Types().ends_with("Z"));  // of the start alone
+      CHECK_FALSE(client.Types().ends_with("TDCZ"));
+      held();
+    }
+    w.Until([&] { return client.Types().ends_with("CZ") || client.Types().ends_with("EZ"); });
+    if (granted_after_ms >= 0) {
+      CHECK(client.Types().ends_with("TDCZ"));
+      CHECK(w.proxy.counts().served == 1);
+    } else {
+      CHECK(client.Saw("58000"));
+      CHECK(w.loop.Now() - begun <= kMs * 400);
+      CHECK(w.loop.Now() - begun > kMs * 200);
+      CHECK(w.proxy.counts().failed == 1);
+      held();  // too late: nobody is there
+      CHECK(w.proxy.counts().served == 0);
+    }
+    CHECK(w.proxy.open() == 0);
+  }
+}
+
 // By hand: bytes a second each, sent and taken together, by size, share of roaming and way.
 TEST_CASE("directory: curves" * doctest::skip()) {
   const char* sizes = std::getenv("SIZES");
