--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -78,7 +78,7 @@
   of_sessions->add_option("--marks", sessions.marks, "how the poolers know of each other's writes")
       ->check(CLI::IsMember({"each", "directory"}));
   of_sessions->add_option("--only", sessions.only, "one scenario")
-      ->check(CLI::IsMember({"calm", "restart_disk", "restart_bare", "promotion", "rotation"}));
+      ->check(CLI::IsMember({"calm", "restart_disk", "restart_bare", "promotion", "rotation", "links"}));
   of_sessions->add_option("--json", sessions.json, "also write the figures to this file");
   of_sessions->add_flag("--logs", sessions.keep_logs, "keep the poolers' logs and say where");
   MembersOptions members;
--- a/lab/sessions_run.cpp
+++ b/lab/sessions_run.cpp
@@ -19,6 +19,7 @@
 #include "net/loop.h"
 #include "pg/message.h"
 #include "pooler_process.h"
+#include "relay.h"
 
 namespace lynxgrade::lab {
 namespace {
@@ -115,6 +116,7 @@
   bool kill_pooler;
   bool lose_primary;  // and the pooler dies while it is replaced
   bool rotate;        // the shared key, in three steps, under load
+  bool links;         // between the poolers lose and delay, are cut, and then one way only
 };
 
 constexpr const char* kKeys = "peers.key";
@@ -122,9 +124,9 @@
 const std::string kNewKey = "2 " + std::string(64, 'b') + "\n";
 
 constexpr Scenario kScenarios[] = {
-    {"calm", true, false, false, false},         {"restart_disk", true, true, false, false},
-    {"restart_bare", false, true, false, false}, {"promotion", true, true, true, false},
-    {"rotation", false, false, false, true},
+    {"calm", true, false, false, false, false},         {"restart_disk", true, true, false, false, false},
+    {"restart_bare", false, true, false, false, false}, {"promotion", true, true, true, false, false},
+    {"rotation", false, false, false, true, false},     {"links", false, false, false, false, true},
 };
 
 // The subsystem as it is to be, without a part of it (of a directory alone), or off.
@@ -147,12 +149,20 @@
     }
     const std::string key = folder_.Write(kKeys, kOldKey);
     const std::uint16_t udp[2] = {FreePort(true), FreePort(true)};
+    if (scenario.links) {
+      relay_ = std::make_unique<Relay>(loop_, 2, options.seed);
+      relay_->Behind({udp[0], udp[1]});
+      relay_->loss = 5;
+      relay_->jitter = kMs * 10;
+    }
+    const auto reached = [&](int i) { return relay_ != nullptr ? relay_->port(i) : udp[i]; };
     for (int i = 0; i < 2; ++i) {
       const std::string name = "n" + std::to_string(i + 1);
       ports_[i] = FreePort(false);
       std::string settings = "[sessions]\nscope = \"everywhere\"\nleast_failover_ms = 1000\nrecall_s = 10\n";
       settings += "[peers]\nlisten = \"127.0.0.1:" + std::to_string(udp[i]) +
-                  "\"\nseeds = [\"127.0.0.1:" + std::to_string(udp[1 - i]) + "\"]\nkey_file = \"" + key +
+                  "\"\nadvertise = \"127.0.0.1:" + std::to_string(reached(i)) +
+                  "\"\nseeds = [\"127.0.0.1:" + std::to_string(reached(1 - i)) + "\"]\nkey_file = \"" + key +
                   "\"\n";
       settings += "marks = \"" + options.marks + (mode == Mode::kPart ? "-plain" : "") + "\"\n";
       // Half of all reads roam here, some hundreds a second: far beyond what a budget would let ask.
@@ -357,6 +367,11 @@
   void Strike() {
     struck_ = loop_.Now();
     if (scenario_.rotate && on_) Rotate();
+    if (scenario_.links) {
+      relay_->cut = {{0, 1}, {1, 0}};
+      Later(kMs * 2500, [this] { relay_->cut = {{0, 1}}; });
+      Later(kMs * 3500, [this] { relay_->cut.clear(); });
+    }
     if (scenario_.lose_primary) {
       for (const auto& group : groups_) {
         const auto primary = group->group().primary();
@@ -381,6 +396,7 @@
   Scenario scenario_;
   std::mt19937_64 random_;
   net::Loop loop_;
+  std::unique_ptr<Relay> relay_;
   Folder folder_;
   Agent agent_;
   std::vector<std::unique_ptr<DataServers>> groups_;
