Ask, recall and release through a third where two do not reach each other

Cause: with one link cut both ends are still heard by the rest, so nobody leaves the view, and at one end writes of the sessions that the other owns waited for as long as the cut lasted. Ruled out: leaving the view; all reads would be conservative. Change: what was said three times without an answer goes round as well, and what came so is answered so.

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -93,7 +93,7 @@
     return false;
   }
   Want_& want = wants_[key];
-  want = {++last_id_, group, now, now, kFirstRetry, until};
+  want = {++last_id_, group, now, now, kFirstRetry, 0, until};
   Ask(now, key, want, out);
   return true;
 }
@@ -104,13 +104,13 @@
   ++counts_.asks;
   Message ask{Message::Kind::kAsk, view_, key, want.group};
   ask.id = want.id;
-  Send(now, OwnerOf(key, lives_), ask, out);
+  Send(now, {OwnerOf(key, lives_), ask, ++want.tries}, out);
 }
 
 // What goes to this instance itself never leaves it.
-void Directory::Send(Time now, Life to, const Message& message, Outbox& out) {
-  if (to != options_.self) return out.push_back({to, message});
-  Handle(now, to, message, out);
+void Directory::Send(Time now, const Outgoing& one, Outbox& out) {
+  if (one.to != options_.self) return out.push_back(one);
+  Handle(now, one.to, one.message, out);
 }
 
 void Directory::Handle(Time now, Life from, const Message& message, Outbox& out) {
@@ -129,7 +129,7 @@
       owner_.Release(now, from, message, WholeSince(message.view), said);
       break;
   }
-  for (const Outgoing& one : said) Send(now, one.to, one.message, out);
+  for (const Outgoing& one : said) Send(now, one, out);
 }
 
 void Directory::Take(Time now, Life from, const Message& message, Outbox& out) {
@@ -205,7 +205,7 @@
   release.serial = recall.serial;
   release.mark = known.mark;
   if (!known.mark) release.forgotten = known.floor;
-  Send(now, from, release, out);
+  Send(now, {from, release, 1}, out);
 }
 
 }  // namespace lynxgrade::directory
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -108,12 +108,13 @@
     Time asked{};  // first, under this id
     Time next{};
     Duration pause{};
+    int tries = 0;
     Time until{};
   };
 
   const Hold* LiveHold(Time now, session::Key key) const;
   void Ask(Time now, session::Key key, Want_& want, Outbox& out);
-  void Send(Time now, Life to, const Message& message, Outbox& out);
+  void Send(Time now, const Outgoing& one, Outbox& out);
   void Handle(Time now, Life from, const Message& message, Outbox& out);
   void TakeGrant(Time now, Life from, const Message& grant);
   void TakeRecall(Time now, Life from, const Message& recall, Outbox& out);
--- a/src/directory/message.h
+++ b/src/directory/message.h
@@ -35,6 +35,7 @@
 struct Outgoing {
   Life to = 0;
   Message message;
+  int tries = 1;  // how often it has been said, this time included, without an answer
 };
 using Outbox = std::vector<Outgoing>;
 
--- a/src/directory/owner.cpp
+++ b/src/directory/owner.cpp
@@ -32,7 +32,7 @@
       ++counts_.recalls;
       Message recall{Message::Kind::kRecall, ask.view, ask.key, ask.group};
       recall.serial = entry.serial;
-      out.push_back({entry.holder, recall});
+      out.push_back({entry.holder, recall, ++entry.recalls});
       return;
     }
     // Its lease ran out: it may have answered up to the end of it, and what it knows never came.
@@ -48,6 +48,7 @@
   entry.serial = ++serial_;
   entry.expires = now + Lease();
   entry.waiter = 0;
+  entry.recalls = 0;
   ++counts_.grants;
   Message grant{Message::Kind::kGrant, place.view, place.key, group};
   grant.id = id;
@@ -59,7 +60,7 @@
     const Time floor = std::max(*whole_since, entry.floor.value_or(*whole_since));
     grant.floor_age = std::max(Duration{0}, now - floor);
   }
-  out.push_back({to, grant});
+  out.push_back({to, grant, 1});
 }
 
 void Owner::Merge(Entry& entry, const Message& release) {
--- a/src/directory/owner.h
+++ b/src/directory/owner.h
@@ -62,6 +62,7 @@
     std::optional<Position> forgotten;
     Life waiter = 0;
     std::uint64_t waiter_id = 0;
+    int recalls = 0;  // of this grant
   };
 
   void Grant(Time now, Life to, std::uint64_t id, GroupId group, const Place& place, Entry& entry,
--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -494,6 +494,20 @@
                              std::vector<Out>& out) {
   const wire::Directory& said = packet.directory();
   if (directory_ == nullptr) return;
+  if (!said.relay_to().empty()) {
+    Out passed = Bare(said.relay_to());
+    *passed.packet.mutable_directory() = said;
+    passed.packet.mutable_directory()->clear_relay_to();
+    passed.packet.mutable_directory()->set_origin_life(packet.sender().life());
+    *passed.packet.mutable_reigns() = packet.reigns();
+    out.push_back(std::move(passed));
+    return;
+  }
+  const std::uint64_t origin = said.origin_life() != 0 ? said.origin_life() : packet.sender().life();
+  if (said.origin_life() != 0) {
+    std::erase_if(via_, [now](const auto& item) { return item.second.until < now; });
+    via_[origin] = {from, now + kViaFor};
+  }
   Stand(now, true);
   for (const wire::Reign& reign : packet.reigns()) {
     keeper_.LearnReign(GroupId(reign.group()), MemberId(reign.primary()), At(reign.since_us()),
@@ -518,7 +532,7 @@
       if (entry.mark_by() != 0) message.mark->by = MemberId(entry.mark_by());
     }
     if (entry.forgotten_ms() != 0) message.forgotten = AtMs(entry.forgotten_ms());
-    directory_->Take(now, packet.sender().life(), message, box);
+    directory_->Take(now, origin, message, box);
   }
   Post(now, box, out);
   if (said.reigns_wanted()) SendReigns(from, out);
@@ -534,7 +548,11 @@
 
 void Exchange::Post(Time now, const directory::Outbox& box, std::vector<Out>& out) {
   std::map<std::pair<std::uint64_t, std::uint64_t>, std::vector<const directory::Message*>> posts;
-  for (const directory::Outgoing& one : box) posts[{one.to, one.message.view}].push_back(&one.message);
+  std::set<std::uint64_t> silent;
+  for (const directory::Outgoing& one : box) {
+    posts[{one.to, one.message.view}].push_back(&one.message);
+    if (one.tries >= kTriesAlone) silent.insert(one.to);
+  }
   for (const auto& [receiver, messages] : posts) {
     const auto peer = std::ranges::find_if(
         swim_.peers(), [&](const auto& item) { return item.second.member.life() == receiver.first; });
@@ -564,6 +582,14 @@
       }
       ++counts_.packets_out;
       ++counts_.directory_out;
+      const auto via = via_.find(receiver.first);
+      std::string third = via != via_.end() && now <= via->second.until ? via->second.address : "";
+      if (third.empty() && silent.contains(receiver.first)) third = SomeOther(receiver.first);
+      if (!third.empty()) {
+        Out around = bare;
+        around.packet.mutable_directory()->set_relay_to(std::exchange(around.address, third));
+        out.push_back(std::move(around));
+      }
       out.push_back(std::move(bare));
     }
   }
@@ -585,19 +611,26 @@
   FillReign(*packet.add_reigns(), group, it->second);
 }
 
+// The address of one who goes by the directory and is heard, another one each time; empty where there is
+// none.
+std::string Exchange::SomeOther(std::uint64_t than) {
+  std::vector<const wire::Member*> others;
+  for (const auto& [name, peer] : swim_.peers()) {
+    const bool alive = peer.member.state() == wire::Member::ALIVE;
+    if (alive && Directed(peer.member) && peer.member.life() != than) others.push_back(&peer.member);
+  }
+  return others.empty() ? std::string() : others[turn_++ % others.size()]->address();
+}
+
 // Who starts from nothing cannot tell when the present reigns began, and would refuse reads for as long as a
 // write is guarded. It is told once, by some that have seen them.
 void Exchange::AskReigns(Time now, std::vector<Out>& out) {
   if (reign_asks_ == 0 || now < next_reign_ask_) return;
-  std::vector<const wire::Member*> others;
-  for (const auto& [name, peer] : swim_.peers()) {
-    if (peer.member.state() == wire::Member::ALIVE && Directed(peer.member)) others.push_back(&peer.member);
-  }
-  if (others.empty()) return;
+  const std::string one = SomeOther(0);
+  if (one.empty()) return;
   next_reign_ask_ = now + kReignAskEvery;
   --reign_asks_;
-  const wire::Member& one = *others[turn_++ % others.size()];
-  Out bare = Bare(one.address());
+  Out bare = Bare(one);
   bare.packet.mutable_directory()->set_reigns_wanted(true);
   out.push_back(std::move(bare));
 }
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -120,6 +120,7 @@
   Out Bare(const std::string& address) const;
   static void FillReign(wire::Reign& to, GroupId group, const session::Reigns& reigns);
   void AddReign(Time now, GroupId group, wire::Packet& packet) const;
+  std::string SomeOther(std::uint64_t than);
   void AskReigns(Time now, std::vector<Out>& out);
   void SendReigns(const std::string& address, std::vector<Out>& out) const;
   static Swim::Options SwimOptions(const Options& options);
@@ -141,6 +142,9 @@
   static constexpr std::uint32_t kDirected = 2;  // Member.speaks
   static constexpr std::size_t kMostDirected = 8192;
   static constexpr int kEntriesAPacket = 30;  // some 1,000 bytes: one datagram on any path
+  // What was said so often without an answer goes through a third as well: the link may be cut.
+  static constexpr int kTriesAlone = 3;
+  static constexpr Duration kViaFor{2000000};  // one that came through a third is answered through it
   // A new life asks some others, one after the other, for the reigns that they know.
   static constexpr int kReignAsks = 3;
   static constexpr Duration kReignAskEvery{300000};
@@ -164,6 +168,11 @@
     std::optional<Time> until;
   };
   Looked looked_;
+  struct Via {
+    std::string address;
+    Time until{};
+  };
+  std::map<std::uint64_t, Via> via_;  // by life
   int reign_asks_ = 0;
   Time next_reign_ask_{};
   session::Keeper& keeper_;
--- a/tests/directory_exchange_test.cpp
+++ b/tests/directory_exchange_test.cpp
@@ -498,6 +498,25 @@
   CHECK(fleet.conservative * 20 < fleet.reads_done);
 }
 
+TEST_CASE("directory: two who do not reach each other ask, recall and release through a third") {
+  Fleet fleet(4, {});
+  REQUIRE(fleet.UntilWhole(kSecond * 20));
+  fleet.Pass(kSecond);
+  fleet.cut = {{0, 1}, {1, 0}};
+  fleet.Pass(kSecond * 2);
+  const auto& standing = fleet.nodes[0]->exchange->swim().standing();
+  const std::uint64_t view = standing.view();
+  fleet.Load(kSecond * 10, 10, 30);
+  fleet.Pass(kSecond * 5);
+  CHECK(standing.view() == view);  // both are heard by the others, so nobody leaves the view
+  CHECK(fleet.waited_ms.size() > 300);
+  CHECK(fleet.writes_failed == 0);
+  CHECK(fleet.stale == 0);
+  std::ranges::sort(fleet.waited_ms);
+  MESSAGE("a write's answer waits ", fleet.waited_ms[fleet.waited_ms.size() / 2], " ms, p99 ",
+          fleet.waited_ms[fleet.waited_ms.size() * 99 / 100], ", at most ", fleet.waited_ms.back());
+}
+
 TEST_CASE("directory: asks for reads are capped, and what is not asked for is conservative") {
   Fleet fleet(4, {Way::kDirectory, 0, 1});
   REQUIRE(fleet.UntilWhole(kSecond * 20));
