--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -11,7 +11,8 @@
 namespace lynxgrade::peers {
 namespace {
 
-// Sessions that an instance keeps in its directory and holds at least, whatever the ledger's capacity: 13 MB.
+// Sessions that an instance keeps in its directory and holds at least, whatever the ledger's capacity: 15 MB
+// when full, 150 bytes an entry and 72 a hold.
 constexpr std::size_t kLeastEntries = 65536;
 
 std::string TextOf(const net::Address& address) {
--- a/tests/directory_exchange_test.cpp
+++ b/tests/directory_exchange_test.cpp
@@ -598,6 +598,68 @@
   }
 }
 
+TEST_CASE(
+    "keeper: what is known exactly has neither a gap nor a doubt after its floor, and the rest has as "
+    "before") {
+  struct Known final : session::Holding {
+    std::optional<Position> Exact(session::Key) override { return exact; }
+    bool Want(GroupId, session::Key, bool write) override {
+      ++(write ? writes : reads);
+      return true;
+    }
+    std::optional<Position> exact;
+    int reads = 0, writes = 0;
+  } known;
+  constexpr MemberId kSuccessor{8};
+  session::Options options = Everywhere();
+  options.refuse_doubt = true;
+  session::Keeper keeper(TwoClasses(), options);
+  keeper.SetHolding(&known);
+  Time now{Duration(1'700'000'000'000'000)};
+  ListEvent list{ListKind::kPersisted, {}};
+  for (const MemberId member : {kPrimary, kSuccessor})
+    list.entries.push_back({.member = member, .group = kGroup});
+  Event event = std::move(list);
+  keeper.Before(now, event);
+  // A primary of long ago, and its successor two seconds ago, which held the log up to three seconds ago.
+  keeper.LearnReign(kGroup, kPrimary, now - kSecond * 3600, now - kSecond * 3600, now - kSecond * 3);
+  keeper.LearnReign(kGroup, kSuccessor, now - kSecond * 2, now - kSecond * 3, now);
+  keeper.TakeTurned();
+  std::uint32_t last = 0;
+  const auto read = [&](const char* session) {
+    RequestEvent ask{.id = RequestId(++last), .group = kGroup, .cls = kRead};
+    ask.session = session;
+    Event of = ask;
+    keeper.Before(now, of);
+    return std::get<RequestEvent>(of).target;
+  };
+  // Not held: a write that may be lost may be its session's.
+  CHECK(keeper.WorthHolding({.group = kGroup, .cls = kRead, .session = "a", .arrived = now}, now));
+  read("a");
+  CHECK(keeper.TakeTurned().size() == 1);
+  // Held: it wrote nothing since the floor, which lies before the loss.
+  known.exact = now - kSecond * 20;
+  CHECK_FALSE(keeper.WorthHolding({.group = kGroup, .cls = kRead, .session = "a", .arrived = now}, now));
+  CHECK(read("a") == now - kSecond * 20);
+  CHECK(keeper.TakeTurned().empty());
+  // A floor within the loss is in doubt, and one that is later than the read is cut to it.
+  known.exact = now - kSecond * 2 - kMs * 500;
+  read("a");
+  CHECK(keeper.TakeTurned().size() == 1);
+  known.exact = now + kSecond;
+  CHECK(read("b") <= now);
+  CHECK(keeper.TakeTurned().size() == 1);
+  // Its own mark in the loss is in doubt as ever; one before it is served by itself.
+  known.exact = now - kSecond * 20;
+  keeper.Learn(kGroup, session::KeyOf(kGroup, "lost"), {now - kSecond * 2 - kMs * 500, kPrimary});
+  read("lost");
+  CHECK(keeper.TakeTurned().size() == 1);
+  keeper.Learn(kGroup, session::KeyOf(kGroup, "kept"), {now - kSecond * 4, kPrimary});
+  CHECK(read("kept") == now - kSecond * 4);
+  CHECK(keeper.TakeTurned().empty());
+  CHECK(known.reads == 2);
+}
+
 // An answer that has run and may not be told yet: it goes out when it may be, or fails at its request's end.
 TEST_CASE("proxy: a write's answer waits until its session is held, and fails at the end of its request") {
   for (const int granted_after_ms : {0, 60, -1}) {
