--- a/src/capacity/measurements.cpp
+++ b/src/capacity/measurements.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 
 namespace lynxgrade::capacity {
@@ -32,6 +33,12 @@
   return run[key].get<std::string>();
 }
 
+bool NeverNought(const std::string& figure) {
+  static const std::set<std::string> figures = {"memory_mb", "real_memory_mb", "cpu_share", "real_cpu_share",
+                                                "module_cpu_us_per_statement"};
+  return figures.contains(figure);
+}
+
 Record RecordIn(const Json& json, std::size_t at) {
   if (!json.is_object() || !json.contains("run") || !json["run"].is_object()) Wrong(at, "has no 'run'");
   if (!json.contains("figures") || !json["figures"].is_object()) Wrong(at, "has no 'figures'");
@@ -54,12 +61,15 @@
   for (const auto& [key, value] : json["figures"].items()) {
     if (value.is_null()) continue;  // the run could not tell it
     if (!value.is_number()) Wrong(at, "'figures." + key + "' is not a number");
+    // No process lives on nothing: the run could not tell it, as one that hosts a single instance cannot.
+    if (value.get<double>() == 0 && NeverNought(key)) continue;
     record.figures[key] = value.get<double>();
   }
   const auto figure = [&](const char* key) {
     const auto found = record.figures.find(key);
     return found == record.figures.end() ? -1 : found->second;
   };
+  record.size.packets_per_s = std::max(0.0, figure("packets_out_per_s"));
   if (const double statements = figure("statements"), over = figure("measured_s");
       statements >= 0 && over > 0) {
     record.size.statements_per_s = statements / over;
@@ -74,7 +84,8 @@
 
 std::variant<std::vector<Record>, std::string> ReadMeasurements(std::string_view text) {
   try {
-    const Json json = Json::parse(text);
+    Json json = Json::parse(text);
+    if (json.is_object() && json.contains("run")) json = Json::array({json});  // as a single run writes it
     if (!json.is_array()) return "the measurements are not a list of records";
     std::vector<Record> records;
     for (std::size_t i = 0; i < json.size(); ++i) records.push_back(RecordIn(json[i], i));
--- a/src/capacity/measurements.h
+++ b/src/capacity/measurements.h
@@ -16,6 +16,7 @@
 struct Size {
   double poolers = 0, databases = 0, clients = 0, statements_per_s = 0;
   double writes_share = 0, roam_share = 0;  // of statements, 0 to 1
+  double packets_per_s = 0;                 // that one pooler sends to the others; zero: not told
   double changes_per_s = 0;                 // of the list of data servers, or of what else poolers are told
 };
 
@@ -32,8 +33,8 @@
   std::map<std::string, double> figures;  // of one pooler, the mean over all; names end in their unit
 };
 
-// The records in `text`, a JSON list, or one plain sentence. Keys that are not known are passed over, so that
-// a run may tell more than the page shows.
+// The records in `text`, a JSON list or one record alone, or one plain sentence. Keys that are not known are
+// passed over, so that a run may tell more than the page shows.
 std::variant<std::vector<Record>, std::string> ReadMeasurements(std::string_view text);
 
 }  // namespace lynxgrade::capacity
--- a/src/capacity/model.h
+++ b/src/capacity/model.h
@@ -40,6 +40,7 @@
   kWrites,
   kFleetWrites,
   kRoaming,
+  kPackets,
   kChanges
 };
 const char* NameOf(Term term);
@@ -99,7 +100,8 @@
   std::string note;       // the arithmetic, or what the figure leaves out
   std::string issue;      // that would carry it, where it leaves its budget
   std::function<Cell(const Target&, Column)> at;
-  std::function<double(const Target&)> budget;  // none: nothing bounds it
+  std::function<Size(const Target&, Column)> size;  // at which its slopes are used; none: SizeIn
+  std::function<double(const Target&)> budget;      // none: nothing bounds it
   std::optional<Slopes> slopes;
   // What events add in their worst second to what the slopes say: in the worst ordinary second, with a zone
   // gone, with regions cut.
--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -146,9 +146,10 @@
 }
 
 // How far the target's size in the worst ordinary second lies beyond the records.
-std::string BeyondText(const Slopes& slopes, const Target& target) {
+std::string BeyondText(const Row& row, const Slopes& slopes, const Target& target) {
   if (!slopes.fit()) return "-";
-  const Size size = SizeIn(target, Column::kWorstOrdinary);
+  const Size size =
+      row.size ? row.size(target, Column::kWorstOrdinary) : SizeIn(target, Column::kWorstOrdinary);
   std::string text;
   for (const auto& ranges : {slopes.varied(), slopes.unvaried()}) {
     for (const Slopes::Range& range : ranges) {
@@ -182,7 +183,7 @@
     if (row.slopes) {
       slopes += "| " + row.name + " | " + SlopeText(row, *row.slopes) + " | " +
                 (row.slopes->fit() ? Figure(row.slopes->fit()->residual * row.scale) : "-") + " | " +
-                RangeText(*row.slopes) + " | " + BeyondText(*row.slopes, target) + " |\n";
+                RangeText(*row.slopes) + " | " + BeyondText(row, *row.slopes, target) + " |\n";
     }
     const auto tell = [&](const char* when, const std::optional<Surplus>& of) {
       if (!of || of->records() == 0) return;
