Tell reigns by how many are told, work by statements too, and what no marks cost beside, on the page on capacity

Need: with the scale run's next records reigns of primaries did not follow packets (scatter 27 kB); they follow how many are told: every group's to each pooler twice a second, or 8 a packet. What runs without marks cost stood among the rows that fail, though no pooler is run so.

Change: a term for reigns told, one for own statements in processor time where records tell it from the rest, rows played for comparison set aside; what a single run of an event adds counts for no smaller size; limits that an assumption alone exceeds stand behind those that the number of poolers does.

--- a/src/capacity/as_it_stands.h
+++ b/src/capacity/as_it_stands.h
@@ -5,16 +5,17 @@
 
 namespace lynxgrade::capacity {
 
-constexpr double kPacketsPerS = 2'000;     // peers::Exchange::Options::packets_per_s
-constexpr double kIdleFlushMs = 100;       // peers::Exchange::Options::idle
-constexpr double kMarksKept = 65'536;      // peers::Exchange::Options::kept
-constexpr double kReignsAPacket = 8;       // src/peers/exchange
-constexpr double kReignsEveryMs = 500;     // src/peers/exchange
-constexpr double kHoldMs = 30;             // sessions.hold_ms
-constexpr double kHeardLately = 8;         // src/session/keeper: holds; an older word is not waited for
-constexpr double kRecallS = 30;            // sessions.recall_s
-constexpr double kLedgerSessions = 8'192;  // sessions.capacity
-constexpr double kProbeMs = 200;           // peers.probe_ms
+constexpr double kPacketsPerS = 2'000;      // peers::Exchange::Options::packets_per_s
+constexpr double kIdleFlushMs = 100;        // peers::Exchange::Options::idle
+constexpr double kMarksKept = 65'536;       // peers::Exchange::Options::kept
+constexpr double kReignsAPacket = 8;        // src/peers/exchange
+constexpr double kReignsEveryMs = 500;      // src/peers/exchange
+constexpr double kPlayedMembersAGroup = 3;  // lab: the scale run's databases stand in groups of so many
+constexpr double kHoldMs = 30;              // sessions.hold_ms
+constexpr double kHeardLately = 8;          // src/session/keeper: holds; an older word is not waited for
+constexpr double kRecallS = 30;             // sessions.recall_s
+constexpr double kLedgerSessions = 8'192;   // sessions.capacity
+constexpr double kProbeMs = 200;            // peers.probe_ms
 constexpr double kPooledS = 10;  // src/upstream/pool: a connection to a database asked that lately stays
 constexpr double kAnswerBytes = 1'048'576;  // src/control/server: the longest answer
 constexpr double kIdlePart = 8;             // src/front: clients over one in so many descriptors leave early
--- a/src/capacity/measurements.cpp
+++ b/src/capacity/measurements.cpp
@@ -6,6 +6,8 @@
 #include <set>
 #include <stdexcept>
 
+#include "capacity/as_it_stands.h"
+
 namespace lynxgrade::capacity {
 namespace {
 
@@ -47,6 +49,7 @@
   Record record;
   record.size.poolers = NumberIn(run, at, "poolers", 0, kMost);
   record.size.databases = NumberIn(run, at, "databases", 0, kMost);
+  record.size.groups = record.size.databases / kPlayedMembersAGroup;
   record.size.clients = NumberIn(run, at, "clients", 0, kMost);
   record.size.statements_per_s = NumberIn(run, at, "statements_per_s", 0, kMost);
   record.size.writes_share = NumberIn(run, at, "writes_share", 0, 1);
--- a/src/capacity/measurements.h
+++ b/src/capacity/measurements.h
@@ -16,6 +16,7 @@
 struct Size {
   double poolers = 0, databases = 0, clients = 0, statements_per_s = 0;
   double writes_share = 0, roam_share = 0;  // of statements, 0 to 1
+  double groups = 0;                        // of databases that hold the same data
   double packets_per_s = 0;                 // that one pooler sends to the others; zero: not told
   double changes_per_s = 0;                 // of the list of data servers, or of what else poolers are told
 };
--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -168,16 +168,17 @@
 // A pooler's rows of control, as played with one way of exchanging marks; `only`: there is no other.
 void AddControl(Builder& build, const std::string& way, bool only, const Row& discovery) {
   const std::string suffix = only ? "" : way == "none" ? " (without marks)" : " (marks: " + way + ")";
-  const bool each = way.empty() || way == "each" || way == "none";
+  const bool none = way == "none", each = way.empty() || way == "each";
   const Keep keep = [way](const Record& record) { return record.marks == way; };
   // From each to each a write goes to every other pooler, so the fleet's writes come to each. Packets go to
   // each in turn, 2,000 a second at most: over them, and not over poolers, bytes and work grow in a line.
   const std::vector<Term> by_writes = {Term::kOne, Term::kPoolers, Term::kFleetWrites};
   const std::vector<Term> by_owners = {Term::kOne, Term::kPoolers, Term::kWrites, Term::kRoaming};
   const std::vector<Term> by_packets = {Term::kOne, Term::kPackets, Term::kFleetWrites};
-  const std::vector<Term>& terms = each ? by_packets : by_owners;
   const std::vector<Term> peers = {Term::kOne, Term::kPoolers};
-  const std::vector<Term> reigns = each ? std::vector<Term>{Term::kOne, Term::kPackets} : by_owners;
+  const std::vector<Term>& terms = none ? peers : each ? by_packets : by_owners;
+  const std::size_t before = build.rows.size();
+  const std::vector<Term> reigns = each ? std::vector<Term>{Term::kOne, Term::kReignsTold} : by_owners;
   Builder::Packets packets;
   if (each) {
     // Those that were not yet at the bound show how packets grow up to it.
@@ -203,6 +204,7 @@
   std::vector<Row> bytes = {discovery};
   std::vector<Row> membership;
   for (const Kind& kind : kinds) {
+    if (none && kind.figure != std::string("membership")) continue;
     for (const char* direction : {"out", "in"}) {
       Row& row = build.FittedWithEvents(
           Named(Role::kPooler, "messages",
@@ -259,11 +261,17 @@
   cpu.issue = "38";
   std::vector<Term> work = terms;
   if (each) {
-    // Each tick looks at all others, whether it sends or not; few sizes cannot tell that from packets.
-    work.push_back(Term::kPoolers);
-    const Slopes both_told(work, "cpu_share",
-                           build.Kept([&](const Record& r) { return keep(r) && Ordinary(r); }));
-    if (!both_told.fit()) work = terms;
+    // Each tick looks at all others, whether it sends or not, and a statement asks the keeper; few records
+    // cannot tell these from packets and writes.
+    const Keep plain = [keep](const Record& r) { return keep(r) && Ordinary(r); };
+    for (const std::vector<Term>& more :
+         {std::vector<Term>{Term::kPoolers, Term::kStatements}, std::vector<Term>{Term::kPoolers}}) {
+      std::vector<Term> tried = terms;
+      tried.insert(tried.end(), more.begin(), more.end());
+      if (!Slopes(tried, "cpu_share", build.Kept(plain)).fit()) continue;
+      work = tried;
+      break;
+    }
   }
   build.FittedWithEvents(cpu, "cpu_share", work, keep, packets);
   Row real = Named(Role::kPooler, "memory", "a whole process without clients" + suffix + ", MB",
@@ -278,6 +286,7 @@
   build.Fitted(Named(Role::kPooler, "descriptors", "control" + suffix + ", without clients and databases",
                      "src/peers, src/discovery"),
                "descriptors", peers, [keep](const Record& r) { return keep(r) && Ordinary(r); });
+  for (std::size_t i = before; none && i < build.rows.size(); ++i) build.rows[i].aside = true;
 }
 
 void AddPooler(Builder& build, const std::vector<Record>& records) {
@@ -577,6 +586,8 @@
       return "own roaming statements";
     case Term::kPackets:
       return "own packets";
+    case Term::kReignsTold:
+      return "reigns told";
     case Term::kChanges:
       return "changes";
   }
@@ -604,6 +615,10 @@
       return size.statements_per_s * size.roam_share * own;
     case Term::kPackets:
       return size.packets_per_s;
+    case Term::kReignsTold:
+      // Every group's to each, or as many as packets have room for.
+      return std::min((size.poolers - 1) * size.groups / (kReignsEveryMs / 1000),
+                      kReignsAPacket * size.packets_per_s);
     case Term::kChanges:
       return size.changes_per_s;
   }
@@ -699,7 +714,8 @@
 }
 
 Cell Surplus::At(double poolers) const {
-  if (records_ == 0) return {};
+  // Without a line nothing is known of sizes below those that were played.
+  if (records_ == 0 || (!fit_ && poolers < least_poolers_ * (1 - kSlack))) return {};
   Cell cell{How::kWorkedOut, largest_, 0, poolers > most_poolers_ * (1 + kSlack)};
   if (fit_) {
     cell.value = std::max(0.0, fit_->At({1, poolers}));
@@ -722,6 +738,7 @@
   Size size;
   size.poolers = target.poolers;
   size.databases = target.databases;
+  size.groups = target.databases / target.members_of_a_group.assumed;
   size.clients = target.clients;
   size.statements_per_s = target.statements_per_s;
   size.writes_share = target.writes_percent.assumed / 100;
@@ -740,12 +757,14 @@
       size.changes_per_s = size.databases / target.zones;
       size.poolers *= left;
       size.databases *= left;
+      size.groups *= left;
       break;
     }
     case Column::kRegionsCut: {
       const double part = 1 / target.regions;
       size.poolers *= part;
       size.databases *= part;
+      size.groups *= part;
       size.clients *= part;
       size.statements_per_s *= part;
       break;
--- a/src/capacity/model.h
+++ b/src/capacity/model.h
@@ -41,6 +41,7 @@
   kFleetWrites,
   kRoaming,
   kPackets,
+  kReignsTold,
   kChanges
 };
 const char* NameOf(Term term);
@@ -106,7 +107,8 @@
   // What events add in their worst second to what the slopes say: in the worst ordinary second, with a zone
   // gone, with regions cut.
   std::optional<Surplus> events, zone, regions;
-  double scale = 1;  // from the figure's unit to the row's
+  bool aside = false;  // played for comparison alone: no part of what is held against the budgets
+  double scale = 1;    // from the figure's unit to the row's
 };
 
 class Model {
--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdio>
 #include <iterator>
+#include <limits>
 #include <set>
 #include <tuple>
 
@@ -258,13 +259,14 @@
 
 std::string FailTable(const Target& target, const Model& model) {
   struct Line {
+    bool any_size;  // over its limit by an assumption, and not by the number of poolers
     double first;
     std::string text;
   };
   std::vector<Line> lines;
   std::string open;
   for (const Row& row : model.rows()) {
-    if (!row.budget) continue;
+    if (!row.budget || row.aside) continue;
     std::array<std::optional<double>, 4> at;
     for (std::size_t i = 0; i < kColumns.size(); ++i) at[i] = LeavesAt(row, target, kColumns[i]);
     if (!at[0] && !at[1]) {
@@ -275,15 +277,23 @@
     std::string text = " | " + FullName(row);
     for (const auto& one : at) text += " | " + LeavesText(one, target);
     text += " | " + row.mechanism + " | " + row.issue + " |\n";
-    lines.push_back({FirstOver(row, target), text});
+    const double first = FirstOver(row, target);
+    const bool any_size = first <= 2 && row.at(Grown(target, 2), Column::kOrdinary).value ==
+                                            row.at(target, Column::kOrdinary).value;
+    lines.push_back({any_size, first, text});
   }
-  std::stable_sort(lines.begin(), lines.end(),
-                   [](const Line& a, const Line& b) { return a.first < b.first; });
+  std::stable_sort(lines.begin(), lines.end(), [](const Line& a, const Line& b) {
+    const double most = std::numeric_limits<double>::max();  // after those that fail by size, before the rest
+    return (a.any_size ? most : a.first) < (b.any_size ? most : b.first);
+  });
   std::string text =
       "| at the target | what | ordinary second | worst ordinary second | zone gone | regions cut | "
       "carried by | issue |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n";
   for (const Line& line : lines)
-    text += (line.first <= target.poolers ? "| **fails**" : "| holds") + line.text;
+    text += (line.any_size                  ? "| **fails** by an assumption"
+             : line.first <= target.poolers ? "| **fails**"
+                                            : "| holds") +
+            line.text;
   if (!open.empty())
     text += "\nBudgeted, but not measured, so their place in this order is not known:\n\n" + open;
   return text;
@@ -434,7 +444,7 @@
 }
 
 std::string Short(const Target& target, const Model& model) {
-  std::string over, open, within;
+  std::string over, open, within, aside;
   for (const Row& row : model.rows()) {
     if (!row.budget) continue;
     const Cell cell = Heavier(row, target);
@@ -442,7 +452,9 @@
     const double first = FirstOver(row, target);
     if (first > 2 && first <= target.poolers) line += ", from " + Figure(first) + " poolers on";
     line += "\n";
-    if (cell.how != How::kNotMeasured && cell.value > row.budget(target)) {
+    if (row.aside) {
+      if (cell.how != How::kNotMeasured) aside += line;
+    } else if (cell.how != How::kNotMeasured && cell.value > row.budget(target)) {
       over += line;
     } else if (cell.how == How::kNotMeasured || cell.at_least) {
       open += line;
@@ -454,7 +466,11 @@
     return lines.empty() ? std::string() : std::string(head) + "\n\n" + lines + "\n";
   };
   return part("Over a budget or a limit at the target, in the ordinary or the worst ordinary second:", over) +
-         part("Not decided, as something is not measured:", open) + part("Within:", within);
+         part("Not decided, as something is not measured:", open) + part("Within:", within) +
+         part(
+             "For comparison, poolers that exchange no marks; no way of exchanging them costs less than "
+             "this:",
+             aside);
 }
 
 }  // namespace
@@ -522,7 +538,8 @@
               "plot 1 with lines linewidth 2 linecolor \"black\" title \"the budget; dotted: the target\"";
   int block = 0;
   for (const Row& row : model.rows()) {
-    if (!row.budget || row.at(target, Column::kWorstOrdinary).how == How::kNotMeasured) continue;
+    if (!row.budget || row.aside) continue;
+    if (row.at(target, Column::kWorstOrdinary).how == How::kNotMeasured) continue;
     if (block > 0) page.data += "\n\n";
     page.data += "# " + Bare(row.name) + "\n";
     for (double poolers = 5; poolers < most * kCurveStep; poolers *= kCurveStep) {
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -57,6 +57,7 @@
   Record record;
   record.size.poolers = poolers;
   record.size.databases = 730;
+  record.size.groups = 730 / kPlayedMembersAGroup;
   record.size.statements_per_s = writes_per_s * 20;
   record.size.writes_share = writes_per_s > 0 ? 0.05 : 0;
   record.size.changes_per_s = changes;
@@ -373,6 +374,9 @@
   const Row again = RowOf(Model(few), "membership out");
   const Cell worst = again.at(target, Column::kWorstOrdinary);
   CHECK(Near(worst.value, 600 + 5 * 410 + 5'002 - (600 + 5 * 100), 1e-4));
+  // Of smaller fleets than those nothing is known, and nothing is added.
+  CHECK(Near(again.at(Grown(target, 50), Column::kWorstOrdinary).value, 600 + 5 * 50, 1e-4));
+  CHECK(again.at(Grown(target, 50), Column::kWorstOrdinary).at_least);
   CHECK(worst.at_least);  // 410 poolers were never replaced
   CHECK(worst.how == How::kWorkedOut);
 }
@@ -408,6 +412,36 @@
   CHECK(static_cast<double>(budget.all()) == 1'000 - kReserved);
 }
 
+TEST_CASE("model: what is played for comparison alone stands beside, and is not held against a budget") {
+  const Target target = Committed();
+  std::vector<Record> records = Fleet();
+  for (const double poolers : {16.0, 40.0, 100.0}) {
+    Record record = Played(poolers, 0);
+    record.marks = "none";
+    record.figures = {{"membership_bytes_out_per_s", 900 + 8 * poolers}, {"cpu_share", 0.5}};
+    records.push_back(record);
+  }
+  const Model model(records);
+  const Row& bytes = RowOf(model, "control, all kinds, both ways (without marks)");
+  CHECK(bytes.aside);
+  CHECK(Near(bytes.at(target, Column::kOrdinary).value, 900 + 8 * 410 + 12, 1e-3));
+  CHECK_FALSE(RowOf(model, "control, all kinds, both ways (marks: each)").aside);
+  const std::string text = TextOf(target, model);
+  const std::string failing = text.substr(text.find("## What fails"));
+  CHECK(text.find("membership out (without marks)") != std::string::npos);
+  CHECK(failing.substr(0, failing.find("## What is assumed")).find("without marks") == std::string::npos);
+}
+
+TEST_CASE("model: reigns are told to each, as far as packets have room for them") {
+  Size size;
+  size.poolers = 40;
+  size.groups = 33;
+  size.packets_per_s = 388;
+  CHECK(ValueOf(Term::kReignsTold, size) == 39 * 33 * 2);
+  size.groups = 243;
+  CHECK(ValueOf(Term::kReignsTold, size) == 388 * 8);
+}
+
 TEST_CASE("model: an assumption moves what depends on it, and nothing else") {
   const Target target = Committed();
   const Model model(Fleet());
