--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -99,7 +99,7 @@
 std::string Verdict(const Cell& cell, double budget) {
   if (cell.how == How::kNotMeasured) return "open";
   if (cell.value > budget) return "**over**, " + Figure(cell.value / budget) + " times";
-  if (cell.at_least) return "open: a part is not measured";
+  if (cell.at_least) return "open, " + Figure(cell.value) + " at least of " + Figure(budget);
   return "within, " + Figure(std::floor(100 * (1 - cell.value / budget))) + " % left";
 }
 
