Give each way of exchanging marks rows of its own, and count kinds of message that are new

Need: with owners of sessions messages go by the sessions that are met, and a run may count kinds that the page did not know; these would have been left out of the sum that is held against the budget.

Change: slopes over own writes and roaming statements, or over statements where runs always play the same shares, which the row then says; every figure named KIND_bytes_out_per_s has rows and counts.

--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 #include "capacity/as_it_stands.h"
 #include "fleet/call_waits.h"
@@ -125,6 +126,17 @@
     return Add(std::move(row));
   }
 
+  // The first of these terms over whose quiet and loaded records a figure has slopes; the last where none
+  // has.
+  std::vector<Term> FirstTold(const std::vector<std::vector<Term>>& all, const std::string& figure,
+                              const Keep& keep) const {
+    const auto kept = Kept([&](const Record& r) { return keep(r) && Ordinary(r); });
+    for (const std::vector<Term>& terms : all) {
+      if (Slopes(terms, figure, kept).fit()) return terms;
+    }
+    return all.back();
+  }
+
   Row& Arithmetic(Row row, std::function<Cell(const Target&, Column)> at) {
     row.at = std::move(at);
     return Add(std::move(row));
@@ -165,6 +177,23 @@
   return std::min(ValueOf(Term::kWrites, size) * target.region_cut_s, kMarksKept);
 }
 
+constexpr const char* kOneSlope =
+    "writes and roaming sessions were the same shares of statements in all runs: the slope holds for these "
+    "shares";
+
+// Kinds of message that runs count beside those that are known here.
+std::set<std::string> OtherKinds(const std::vector<const Record*>& records) {
+  const std::string ending = "_bytes_out_per_s";
+  std::set<std::string> kinds;
+  for (const Record* record : records) {
+    for (const auto& [figure, value] : record->figures) {
+      if (figure.ends_with(ending)) kinds.insert(figure.substr(0, figure.size() - ending.size()));
+    }
+  }
+  for (const char* known : {"membership", "marks", "reigns", "ledger"}) kinds.erase(known);
+  return kinds;
+}
+
 // A pooler's rows of control, as played with one way of exchanging marks; `only`: there is no other.
 void AddControl(Builder& build, const std::string& way, bool only, const Row& discovery) {
   const std::string suffix = only ? "" : way == "none" ? " (without marks)" : " (marks: " + way + ")";
@@ -176,7 +205,6 @@
   const std::vector<Term> by_owners = {Term::kOne, Term::kPoolers, Term::kWrites, Term::kRoaming};
   const std::vector<Term> by_packets = {Term::kOne, Term::kPackets, Term::kFleetWrites};
   const std::vector<Term> peers = {Term::kOne, Term::kPoolers};
-  const std::vector<Term>& terms = none ? peers : each ? by_packets : by_owners;
   const std::size_t before = build.rows.size();
   const std::vector<Term> reigns = each ? std::vector<Term>{Term::kOne, Term::kReignsTold} : by_owners;
   Builder::Packets packets;
@@ -192,27 +220,43 @@
     };
   }
   struct Kind {
-    const char* figure;
-    const char* name;
-    const char* mechanism;
-    const std::vector<Term>* terms;
+    std::string figure, name, mechanism;
+    std::vector<std::vector<Term>> terms;  // the first that the records can tell apart
+  };
+  // Where sessions have owners, messages go by those that are met. Runs that always play the same shares of
+  // writes and of roaming sessions tell one slope for both.
+  const std::vector<std::vector<Term>> by_meets = {
+      by_owners, {Term::kOne, Term::kPoolers, Term::kStatements}, {Term::kOne, Term::kStatements}};
+  using Choices = std::vector<std::vector<Term>>;
+  const auto either = [&](const std::vector<Term>& as_each) {
+    return none ? Choices{peers} : each ? Choices{as_each} : by_meets;
   };
-  const std::array<Kind, 4> kinds = {{{"membership", "membership", "src/peers/swim", &peers},
-                                      {"marks", "marks", "src/peers/exchange", &terms},
-                                      {"reigns", "reigns of primaries", "src/peers/exchange", &reigns},
-                                      {"ledger", "whole ledgers", "src/peers/exchange", &peers}}};
+  std::vector<Kind> kinds = {{"membership", "membership", "src/peers/swim", Choices{peers}},
+                             {"marks", "marks", "src/peers/exchange", either(by_packets)},
+                             {"reigns", "reigns of primaries", "src/peers/exchange", either(reigns)},
+                             {"ledger", "whole ledgers", "src/peers/exchange", Choices{peers}}};
+  for (const std::string& figure : OtherKinds(build.Kept(keep))) {
+    kinds.push_back({figure, figure, "src/" + figure, either(by_packets)});
+  }
   std::vector<Row> bytes = {discovery};
   std::vector<Row> membership;
   for (const Kind& kind : kinds) {
-    if (none && kind.figure != std::string("membership")) continue;
+    if (none && kind.figure != "membership") continue;
     for (const char* direction : {"out", "in"}) {
+      const std::string figure = kind.figure + "_bytes_" + direction + "_per_s";
+      const std::vector<Term> told = build.FirstTold(kind.terms, figure, keep);
+      const bool over_packets = std::count(told.begin(), told.end(), Term::kPackets) +
+                                    std::count(told.begin(), told.end(), Term::kReignsTold) >
+                                0;
       Row& row = build.FittedWithEvents(
-          Named(Role::kPooler, "messages",
-                std::string(kind.name) + " " + direction + suffix + ", bytes a second", kind.mechanism),
-          std::string(kind.figure) + "_bytes_" + direction + "_per_s", *kind.terms, keep,
-          kind.terms == &peers ? Builder::Packets() : packets);
+          Named(Role::kPooler, "messages", kind.name + " " + direction + suffix + ", bytes a second",
+                kind.mechanism.c_str()),
+          figure, told, keep, over_packets ? packets : Builder::Packets());
+      if (!each && told != by_owners && std::count(told.begin(), told.end(), Term::kStatements) > 0) {
+        row.note = kOneSlope;
+      }
       const auto per_mark = row.slopes->SlopeOf(Term::kFleetWrites);
-      if (kind.figure == std::string("marks") && per_mark && row.regions->records() == 0) {
+      if (each && kind.figure == "marks" && per_mark && row.regions->records() == 0) {
         row.note = "regions cut: with what was missed, sent again after the cut";
         row.at = [before = row.at, per_mark = *per_mark](const Target& target, Column column) {
           Cell cell = before(target, column);
@@ -223,7 +267,7 @@
         };
       }
       bytes.push_back(row);
-      if (kind.figure == std::string("membership")) membership.push_back(row);
+      if (kind.figure == "membership") membership.push_back(row);
     }
   }
   const auto sum = [](const std::vector<Row>& of) {
@@ -251,7 +295,8 @@
       row.note = "by the slope, 2,000 at most";
       build.Arithmetic(row, packets);
     } else {
-      build.FittedWithEvents(row, std::string("packets_") + direction + "_per_s", terms, keep);
+      const std::string figure = std::string("packets_") + direction + "_per_s";
+      build.FittedWithEvents(row, figure, build.FirstTold(either(by_packets), figure, keep), keep);
     }
   }
   Row cpu = Named(Role::kPooler, "processor", "control" + suffix + ", % of a core",
@@ -259,20 +304,13 @@
   cpu.scale = 100;
   cpu.budget = [](const Target& target) { return target.cpu_percent; };
   cpu.issue = "38";
-  std::vector<Term> work = terms;
-  if (each) {
-    // Each tick looks at all others, whether it sends or not, and a statement asks the keeper; few records
-    // cannot tell these from packets and writes.
-    const Keep plain = [keep](const Record& r) { return keep(r) && Ordinary(r); };
-    for (const std::vector<Term>& more :
-         {std::vector<Term>{Term::kPoolers, Term::kStatements}, std::vector<Term>{Term::kPoolers}}) {
-      std::vector<Term> tried = terms;
-      tried.insert(tried.end(), more.begin(), more.end());
-      if (!Slopes(tried, "cpu_share", build.Kept(plain)).fit()) continue;
-      work = tried;
-      break;
-    }
-  }
+  // Each tick looks at all others, whether it sends or not, and a statement asks the keeper; few records
+  // cannot tell these from packets and writes.
+  const std::vector<std::vector<Term>> by_all = {
+      {Term::kOne, Term::kPackets, Term::kFleetWrites, Term::kPoolers, Term::kStatements},
+      {Term::kOne, Term::kPackets, Term::kFleetWrites, Term::kPoolers},
+      by_packets};
+  const std::vector<Term> work = build.FirstTold(each ? by_all : either(by_packets), "cpu_share", keep);
   build.FittedWithEvents(cpu, "cpu_share", work, keep, packets);
   Row real = Named(Role::kPooler, "memory", "a whole process without clients" + suffix + ", MB",
                    "src/peers, src/session, src/discovery, src/balance.cpp");
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -432,6 +432,41 @@
   CHECK(failing.substr(0, failing.find("## What is assumed")).find("without marks") == std::string::npos);
 }
 
+TEST_CASE(
+    "model: another way of exchanging marks has rows and slopes of its own, and kinds that are new count") {
+  const Target target = Committed();
+  std::vector<Record> records = Fleet();
+  // Shares of writes and of roaming that are always alike tell one slope; others tell two.
+  const auto play = [&](const char* way, double roam_of_writes) {
+    for (const double poolers : {16.0, 64.0, 205.0}) {
+      for (const double own : {0.0, 1.0, 10.0}) {
+        Record record = Played(poolers, own * poolers);
+        record.marks = way;
+        record.size.roam_share = record.size.writes_share * (own > 5 ? roam_of_writes : 2);
+        const double meets = ValueOf(Term::kRoaming, record.size);
+        for (const char* direction : {"out", "in"}) {
+          record.figures["marks_bytes_" + std::string(direction) + "_per_s"] = 0;
+          record.figures["reigns_bytes_" + std::string(direction) + "_per_s"] = 0;
+          record.figures["asked_bytes_" + std::string(direction) + "_per_s"] = 50 * own + 70 * meets;
+        }
+        records.push_back(record);
+      }
+    }
+  };
+  play("alike", 2);
+  play("apart", 6);
+  const Model model(records);
+  const Row& apart = RowOf(model, "asked out (marks: apart)");
+  // 51.2 own writes and 102 roaming statements a second.
+  CHECK(Near(apart.at(target, Column::kOrdinary).value, 50 * 21'000.0 / 410 + 70 * 42'000.0 / 410, 1e-4));
+  CHECK(apart.note.empty());
+  const Row& alike = RowOf(model, "asked out (marks: alike)");
+  CHECK_FALSE(alike.note.empty());
+  CHECK(Near(alike.at(target, Column::kOrdinary).value, (50 + 2 * 70) * 21'000.0 / 410, 1e-4));
+  const Cell all = RowOf(model, "control, all kinds, both ways (marks: apart)").at(target, Column::kOrdinary);
+  CHECK(Near(all.value, 2 * (600 + 5 * 410 + apart.at(target, Column::kOrdinary).value) + 12, 1e-3));
+}
+
 TEST_CASE("model: reigns are told to each, as far as packets have room for them") {
   Size size;
   size.poolers = 40;
