Leave out slopes that the records do not tell, in place of carrying them beyond their range

Ruled out: fewer terms for good (with more records they are told); bounds by hand on each slope.

Change: a slope that is not twice its error, or falls as size grows, goes, the least told first, and the row says which; beyond what was played the figure is then 'at least'. A line that ends below nothing is no figure.

--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -16,7 +16,8 @@
 // Changes in fewer than one second of a hundred are none in an ordinary one.
 constexpr double kHardlyAny = 0.01;
 constexpr double kBelowBound =
-    0.9;                           // part of the bound on packets under which a run was surely not held by it
+    0.9;                         // part of the bound on packets under which a run was surely not held by it
+constexpr double kToldFrom = 2;  // errors from nothing on: a slope that is nearer is not told by the records
 constexpr double kMostGrowth = 8;  // times the target: beyond it the design is another
 
 // Runs in which nothing happens but load; those in which an ordinary day's events do; and the losses.
@@ -673,7 +674,6 @@
     refused_ = "no record tells `" + figure + "`";
     return;
   }
-  std::vector<std::string> names = {"the constant"};
   for (const Term term : terms) {
     if (term == Term::kOne) continue;
     Range range{term, ValueOf(term, held[0]->size), ValueOf(term, held[0]->size)};
@@ -681,20 +681,32 @@
       range.least = std::min(range.least, ValueOf(term, record->size));
       range.most = std::max(range.most, ValueOf(term, record->size));
     }
-    if (range.least == range.most) {
-      unvaried_.push_back(range);
-    } else {
-      varied_.push_back(range);
-      names.push_back(NameOf(term));
-    }
+    (range.least == range.most ? unvaried_ : varied_).push_back(range);
   }
-  std::vector<Sample> samples;
-  for (const Record* record : held) samples.push_back({Point(record->size), record->figures.at(figure)});
-  auto fit = LeastSquares(names, samples);
-  if (auto* wrong = std::get_if<std::string>(&fit)) {
-    refused_ = std::move(*wrong);
-  } else {
+  while (true) {
+    std::vector<std::string> names = {"the constant"};
+    for (const Range& range : varied_) names.push_back(NameOf(range.term));
+    std::vector<Sample> samples;
+    for (const Record* record : held) samples.push_back({Point(record->size), record->figures.at(figure)});
+    auto fit = LeastSquares(names, samples);
+    if (auto* wrong = std::get_if<std::string>(&fit)) {
+      refused_ = std::move(*wrong);
+      return;
+    }
     fit_ = std::get<Fit>(std::move(fit));
+    // The slope that stands out least from its error goes first; before it those below nothing, as no part of
+    // the program costs less for more: such a one makes up for another that was taken for too much.
+    std::size_t least = 0;
+    double ratio = kToldFrom;
+    for (std::size_t i = 0; i < varied_.size(); ++i) {
+      const double slope = fit_->slopes[i + 1], error = fit_->errors[i + 1];
+      if (slope >= ratio * error) continue;
+      ratio = slope / error;
+      least = i + 1;
+    }
+    if (least == 0) return;
+    untold_.push_back(varied_[least - 1]);
+    varied_.erase(varied_.begin() + static_cast<std::ptrdiff_t>(least - 1));
   }
 }
 
@@ -708,16 +720,20 @@
   if (!fit_) return {};
   const std::vector<double> point = Point(size);
   Cell cell{How::kMeasured, fit_->At(point), fit_->ErrorAt(point), false};
-  for (const std::vector<Range>& ranges : {varied_, unvaried_}) {
+  // No figure here can be below nothing: such a line was carried too far.
+  if (cell.value < 0) return {};
+  for (const std::vector<Range>& ranges : {varied_, unvaried_, untold_}) {
     for (const Range& range : ranges) {
       const double value = ValueOf(range.term, size);
       if (range.term == Term::kChanges && value < kHardlyAny && range.least == 0) continue;
       if (value > range.most * (1 + kSlack) || value < range.least * (1 - kSlack)) cell.how = How::kWorkedOut;
     }
   }
-  for (const Range& range : unvaried_) {
-    if (range.term == Term::kChanges && ValueOf(range.term, size) < kHardlyAny) continue;
-    if (ValueOf(range.term, size) > range.most * (1 + kSlack)) cell.at_least = true;
+  for (const std::vector<Range>& ranges : {unvaried_, untold_}) {
+    for (const Range& range : ranges) {
+      if (range.term == Term::kChanges && ValueOf(range.term, size) < kHardlyAny) continue;
+      if (ValueOf(range.term, size) > range.most * (1 + kSlack)) cell.at_least = true;
+    }
   }
   return cell;
 }
--- a/src/capacity/model.h
+++ b/src/capacity/model.h
@@ -61,14 +61,17 @@
   Cell At(const Size& size) const;
   const std::vector<Range>& varied() const { return varied_; }      // without the constant
   const std::vector<Range>& unvaried() const { return unvaried_; }  // least and most are equal
-  const std::optional<Fit>& fit() const { return fit_; }            // the constant first
-  const std::string& refused() const { return refused_; }           // why there is none
+  // Varied, but with a slope that is not twice its error: it is left out rather than carried beyond its
+  // range.
+  const std::vector<Range>& untold() const { return untold_; }
+  const std::optional<Fit>& fit() const { return fit_; }   // the constant first
+  const std::string& refused() const { return refused_; }  // why there is none
   std::optional<double> SlopeOf(Term term) const;
 
  private:
   std::vector<double> Point(const Size& size) const;
 
-  std::vector<Range> varied_, unvaried_;
+  std::vector<Range> varied_, unvaried_, untold_;
   std::optional<Fit> fit_;
   std::string refused_;
 };
--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -143,6 +143,10 @@
     text += (text.empty() ? "" : "; ") + std::string(NameOf(range.term)) + " " + Figure(range.most) +
             " throughout";
   }
+  for (const Slopes::Range& range : slopes.untold()) {
+    text += (text.empty() ? "" : "; ") + std::string(NameOf(range.term)) + " " + Figure(range.least) +
+            " to " + Figure(range.most) + ", which show no slope";
+  }
   return text.empty() ? "-" : text;
 }
 
@@ -152,7 +156,7 @@
   const Size size =
       row.size ? row.size(target, Column::kWorstOrdinary) : SizeIn(target, Column::kWorstOrdinary);
   std::string text;
-  for (const auto& ranges : {slopes.varied(), slopes.unvaried()}) {
+  for (const auto& ranges : {slopes.varied(), slopes.unvaried(), slopes.untold()}) {
     for (const Slopes::Range& range : ranges) {
       const double value = ValueOf(range.term, size);
       if (value <= range.most * 1.05) continue;
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -296,6 +296,42 @@
   CHECK(Slopes(terms, "nobody_tells_this", all).At(records[0].size).how == How::kNotMeasured);
 }
 
+TEST_CASE("slopes: one that does not stand out from its error is not carried beyond its range") {
+  std::mt19937 random(3);
+  std::normal_distribution<double> noise(0, 50);
+  std::vector<Record> records;
+  for (const double poolers : {20.0, 50.0, 100.0, 200.0, 300.0, 400.0}) {
+    for (const double writes : {0.0, 5.0, 9.0}) {
+      records.push_back(Played(poolers, writes));
+      records.back().figures["marks_bytes_out_per_s"] =
+          1'000 + 200 * poolers + noise(random);  // no part of writes
+    }
+  }
+  std::vector<const Record*> all;
+  for (const Record& record : records) all.push_back(&record);
+  const Slopes slopes({Term::kOne, Term::kPoolers, Term::kFleetWrites}, "marks_bytes_out_per_s", all);
+  REQUIRE(slopes.untold().size() == 1);
+  CHECK(slopes.untold()[0].term == Term::kFleetWrites);
+  CHECK(Near(*slopes.SlopeOf(Term::kPoolers), 200, 0.01));
+  const Cell within = slopes.At(Played(400, 9).size), beyond = slopes.At(Played(400, 21'000).size);
+  CHECK_FALSE(within.at_least);
+  CHECK(within.how == How::kMeasured);
+  CHECK(beyond.at_least);
+  CHECK(beyond.value == within.value);
+  CHECK(beyond.how == How::kWorkedOut);
+  // A line that is carried below nothing is no figure, and nothing costs less for more.
+  for (Record& record : records) {
+    record.figures["late"] = 10 * record.size.poolers - 100;
+    record.figures["falling"] = 500 - record.size.poolers;
+  }
+  const Slopes late({Term::kOne, Term::kPoolers}, "late", all);
+  CHECK(late.At(Played(20, 0).size).how == How::kMeasured);
+  CHECK(late.At(Played(5, 0).size).how == How::kNotMeasured);
+  const Slopes falling({Term::kOne, Term::kPoolers}, "falling", all);
+  CHECK(falling.untold().size() == 1);
+  CHECK(falling.At(Played(600, 0).size).at_least);
+}
+
 TEST_CASE("model: rows, budgets and the order of failing follow the records") {
   const Target target = Committed();
   const Model model(Fleet());
