Call a row open on the page on capacity where it is under its budget only as far as it is measured

Need: with two records of another way of exchanging marks the sum of its known parts, discovery's list alone, 'held'.

Change: such rows are open in the table of what fails, as in the verdicts.

--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -264,6 +264,7 @@
 std::string FailTable(const Target& target, const Model& model) {
   struct Line {
     bool any_size;  // over its limit by an assumption, and not by the number of poolers
+    bool open;      // under it, as far as it is measured
     double first;
     std::string text;
   };
@@ -284,7 +285,7 @@
     const double first = FirstOver(row, target);
     const bool any_size = first <= 2 && row.at(Grown(target, 2), Column::kOrdinary).value ==
                                             row.at(target, Column::kOrdinary).value;
-    lines.push_back({any_size, first, text});
+    lines.push_back({any_size, Heavier(row, target).at_least, first, text});
   }
   std::stable_sort(lines.begin(), lines.end(), [](const Line& a, const Line& b) {
     const double most = std::numeric_limits<double>::max();  // after those that fail by size, before the rest
@@ -296,6 +297,7 @@
   for (const Line& line : lines)
     text += (line.any_size                  ? "| **fails** by an assumption"
              : line.first <= target.poolers ? "| **fails**"
+             : line.open                    ? "| open: a part is not measured"
                                             : "| holds") +
             line.text;
   if (!open.empty())
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -564,6 +564,23 @@
   }));
 }
 
+TEST_CASE("page: a sum that is under its budget only as far as it is measured is open, and does not hold") {
+  const Target target = Committed();
+  std::vector<Record> records = Fleet();
+  for (Record& record : records) {
+    std::erase_if(record.figures, [](const auto& figure) {
+      return !figure.first.starts_with("membership") && !figure.first.starts_with("discovery");
+    });
+  }
+  const std::string text = TextOf(target, Model(records));
+  const std::string row = "pooler, messages: **control, all kinds, both ways, bytes a second**";
+  CHECK(text.find("| open: a part is not measured | " + row) != std::string::npos);
+  CHECK(text.find("| holds | " + row) == std::string::npos);
+  CHECK(text.find("- " + row + ": open, ") != std::string::npos);
+  // Membership is measured whole in an ordinary second, and nobody played its worst.
+  CHECK(text.find("| holds | pooler, messages: membership alone") == std::string::npos);
+}
+
 TEST_CASE("page: each part stands in the words once") {
   const Target target = Committed();
   const Model model({});
