--- a/docs/capacity/curves.gp
+++ b/docs/capacity/curves.gp
@@ -14,8 +14,8 @@
   "docs/capacity/curves.dat" index 1 using 1:3 with lines title "membership alone, both ways (marks: each), bytes a second", \
   "docs/capacity/curves.dat" index 2 using 1:3 with lines title "control, all kinds, both ways (marks: each), bytes a second", \
   "docs/capacity/curves.dat" index 3 using 1:3 with lines title "control (marks: each), % of a core", \
-  "docs/capacity/curves.dat" index 4 using 1:3 with lines title "control (marks: each), MB", \
-  "docs/capacity/curves.dat" index 5 using 1:3 with lines title "control, all kinds, both ways (without marks), bytes a second", \
+  "docs/capacity/curves.dat" index 4 using 1:3 with lines title "a whole process without clients (marks: each), MB", \
+  "docs/capacity/curves.dat" index 5 using 1:3 with lines title "control, as one instance more adds to a process (marks: each), MB", \
   "docs/capacity/curves.dat" index 6 using 1:3 with lines title "two pauses between packets to one pooler, ms", \
   "docs/capacity/curves.dat" index 7 using 1:3 with lines title "groups whose primary is told to one pooler in a round, needed", \
   "docs/capacity/curves.dat" index 8 using 1:3 with lines title "wait of a read that asks poolers of the other region, ms", \
--- a/src/capacity/model.h
+++ b/src/capacity/model.h
@@ -40,6 +40,8 @@
   kWrites,
   kFleetWrites,
   kRoaming,
+  kPackets,
+  kReignsTold,
   kChanges
 };
 const char* NameOf(Term term);
@@ -59,14 +61,17 @@
   Cell At(const Size& size) const;
   const std::vector<Range>& varied() const { return varied_; }      // without the constant
   const std::vector<Range>& unvaried() const { return unvaried_; }  // least and most are equal
-  const std::optional<Fit>& fit() const { return fit_; }            // the constant first
-  const std::string& refused() const { return refused_; }           // why there is none
+  // Varied, but with a slope that is not twice its error: it is left out rather than carried beyond its
+  // range.
+  const std::vector<Range>& untold() const { return untold_; }
+  const std::optional<Fit>& fit() const { return fit_; }   // the constant first
+  const std::string& refused() const { return refused_; }  // why there is none
   std::optional<double> SlopeOf(Term term) const;
 
  private:
   std::vector<double> Point(const Size& size) const;
 
-  std::vector<Range> varied_, unvaried_;
+  std::vector<Range> varied_, unvaried_, untold_;
   std::optional<Fit> fit_;
   std::string refused_;
 };
@@ -99,12 +104,14 @@
   std::string note;       // the arithmetic, or what the figure leaves out
   std::string issue;      // that would carry it, where it leaves its budget
   std::function<Cell(const Target&, Column)> at;
-  std::function<double(const Target&)> budget;  // none: nothing bounds it
+  std::function<Size(const Target&, Column)> size;  // at which its slopes are used; none: SizeIn
+  std::function<double(const Target&)> budget;      // none: nothing bounds it
   std::optional<Slopes> slopes;
   // What events add in their worst second to what the slopes say: in the worst ordinary second, with a zone
   // gone, with regions cut.
   std::optional<Surplus> events, zone, regions;
-  double scale = 1;  // from the figure's unit to the row's
+  bool aside = false;  // played for comparison alone: no part of what is held against the budgets
+  double scale = 1;    // from the figure's unit to the row's
 };
 
 class Model {
--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdio>
 #include <iterator>
+#include <limits>
 #include <set>
 #include <tuple>
 
@@ -98,7 +99,7 @@
 std::string Verdict(const Cell& cell, double budget) {
   if (cell.how == How::kNotMeasured) return "open";
   if (cell.value > budget) return "**over**, " + Figure(cell.value / budget) + " times";
-  if (cell.at_least) return "open: a part is not measured";
+  if (cell.at_least) return "open, " + Figure(cell.value) + " at least of " + Figure(budget);
   return "within, " + Figure(std::floor(100 * (1 - cell.value / budget))) + " % left";
 }
 
@@ -142,15 +143,20 @@
     text += (text.empty() ? "" : "; ") + std::string(NameOf(range.term)) + " " + Figure(range.most) +
             " throughout";
   }
+  for (const Slopes::Range& range : slopes.untold()) {
+    text += (text.empty() ? "" : "; ") + std::string(NameOf(range.term)) + " " + Figure(range.least) +
+            " to " + Figure(range.most) + ", which show no slope";
+  }
   return text.empty() ? "-" : text;
 }
 
 // How far the target's size in the worst ordinary second lies beyond the records.
-std::string BeyondText(const Slopes& slopes, const Target& target) {
+std::string BeyondText(const Row& row, const Slopes& slopes, const Target& target) {
   if (!slopes.fit()) return "-";
-  const Size size = SizeIn(target, Column::kWorstOrdinary);
+  const Size size =
+      row.size ? row.size(target, Column::kWorstOrdinary) : SizeIn(target, Column::kWorstOrdinary);
   std::string text;
-  for (const auto& ranges : {slopes.varied(), slopes.unvaried()}) {
+  for (const auto& ranges : {slopes.varied(), slopes.unvaried(), slopes.untold()}) {
     for (const Slopes::Range& range : ranges) {
       const double value = ValueOf(range.term, size);
       if (value <= range.most * 1.05) continue;
@@ -182,7 +188,7 @@
     if (row.slopes) {
       slopes += "| " + row.name + " | " + SlopeText(row, *row.slopes) + " | " +
                 (row.slopes->fit() ? Figure(row.slopes->fit()->residual * row.scale) : "-") + " | " +
-                RangeText(*row.slopes) + " | " + BeyondText(*row.slopes, target) + " |\n";
+                RangeText(*row.slopes) + " | " + BeyondText(row, *row.slopes, target) + " |\n";
     }
     const auto tell = [&](const char* when, const std::optional<Surplus>& of) {
       if (!of || of->records() == 0) return;
@@ -257,13 +263,15 @@
 
 std::string FailTable(const Target& target, const Model& model) {
   struct Line {
+    bool any_size;  // over its limit by an assumption, and not by the number of poolers
+    bool open;      // under it, as far as it is measured
     double first;
     std::string text;
   };
   std::vector<Line> lines;
   std::string open;
   for (const Row& row : model.rows()) {
-    if (!row.budget) continue;
+    if (!row.budget || row.aside) continue;
     std::array<std::optional<double>, 4> at;
     for (std::size_t i = 0; i < kColumns.size(); ++i) at[i] = LeavesAt(row, target, kColumns[i]);
     if (!at[0] && !at[1]) {
@@ -274,15 +282,24 @@
     std::string text = " | " + FullName(row);
     for (const auto& one : at) text += " | " + LeavesText(one, target);
     text += " | " + row.mechanism + " | " + row.issue + " |\n";
-    lines.push_back({FirstOver(row, target), text});
+    const double first = FirstOver(row, target);
+    const bool any_size = first <= 2 && row.at(Grown(target, 2), Column::kOrdinary).value ==
+                                            row.at(target, Column::kOrdinary).value;
+    lines.push_back({any_size, Heavier(row, target).at_least, first, text});
   }
-  std::stable_sort(lines.begin(), lines.end(),
-                   [](const Line& a, const Line& b) { return a.first < b.first; });
+  std::stable_sort(lines.begin(), lines.end(), [](const Line& a, const Line& b) {
+    const double most = std::numeric_limits<double>::max();  // after those that fail by size, before the rest
+    return (a.any_size ? most : a.first) < (b.any_size ? most : b.first);
+  });
   std::string text =
       "| at the target | what | ordinary second | worst ordinary second | zone gone | regions cut | "
       "carried by | issue |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n";
   for (const Line& line : lines)
-    text += (line.first <= target.poolers ? "| **fails**" : "| holds") + line.text;
+    text += (line.any_size                  ? "| **fails** by an assumption"
+             : line.first <= target.poolers ? "| **fails**"
+             : line.open                    ? "| open: a part is not measured"
+                                            : "| holds") +
+            line.text;
   if (!open.empty())
     text += "\nBudgeted, but not measured, so their place in this order is not known:\n\n" + open;
   return text;
@@ -433,7 +450,7 @@
 }
 
 std::string Short(const Target& target, const Model& model) {
-  std::string over, open, within;
+  std::string over, open, within, aside;
   for (const Row& row : model.rows()) {
     if (!row.budget) continue;
     const Cell cell = Heavier(row, target);
@@ -441,7 +458,9 @@
     const double first = FirstOver(row, target);
     if (first > 2 && first <= target.poolers) line += ", from " + Figure(first) + " poolers on";
     line += "\n";
-    if (cell.how != How::kNotMeasured && cell.value > row.budget(target)) {
+    if (row.aside) {
+      if (cell.how != How::kNotMeasured) aside += line;
+    } else if (cell.how != How::kNotMeasured && cell.value > row.budget(target)) {
       over += line;
     } else if (cell.how == How::kNotMeasured || cell.at_least) {
       open += line;
@@ -453,7 +472,11 @@
     return lines.empty() ? std::string() : std::string(head) + "\n\n" + lines + "\n";
   };
   return part("Over a budget or a limit at the target, in the ordinary or the worst ordinary second:", over) +
-         part("Not decided, as something is not measured:", open) + part("Within:", within);
+         part("Not decided, as something is not measured:", open) + part("Within:", within) +
+         part(
+             "For comparison, poolers that exchange no marks; no way of exchanging them costs less than "
+             "this:",
+             aside);
 }
 
 }  // namespace
@@ -521,7 +544,8 @@
               "plot 1 with lines linewidth 2 linecolor \"black\" title \"the budget; dotted: the target\"";
   int block = 0;
   for (const Row& row : model.rows()) {
-    if (!row.budget || row.at(target, Column::kWorstOrdinary).how == How::kNotMeasured) continue;
+    if (!row.budget || row.aside) continue;
+    if (row.at(target, Column::kWorstOrdinary).how == How::kNotMeasured) continue;
     if (block > 0) page.data += "\n\n";
     page.data += "# " + Bare(row.name) + "\n";
     for (double poolers = 5; poolers < most * kCurveStep; poolers *= kCurveStep) {
