Fill the ring in the test of the kernel's share, so that reading really pauses

The first statement is taken out at once, so two wide ones left the ring with room, and the test passed with the look ahead taken out. Three do not.

--- a/tests/times_test.cpp
+++ b/tests/times_test.cpp
@@ -126,16 +126,18 @@
 TEST_CASE("a request that came into the kernel while the ring was full has its time from then") {
   World w(200, Unhurried());
   Held held(w);
-  // The ring holds 256 KiB: what is behind these stays in the kernel.
+  // The first is taken out at once, and the ring holds 256 KiB: what is behind these stays in the kernel.
   const std::string wide = Ask("any", "1", 60000) + std::string(150000, ' ');
-  Bare client(w.front.port(), Query(wide) + Query(wide) + Query(Ask("any", "2", 60000)));
+  const std::string wide2 = Ask("any", "1", 60000) + std::string(150000, ' ');
+  const std::string wide3 = Ask("any", "1", 60000) + std::string(150000, ' ');
+  Bare client(w.front.port(), Query(wide) + Query(wide2) + Query(wide3) + Query(Ask("any", "2", 60000)));
   w.Until([&] { return held.first != nullptr; });
   Pass(w, Ms(400));
   client.Say(Query(Ask("any", "3", 60000)));
   Pass(w, Ms(200));
   held.Answer();
-  w.Until([&] { return held.server.queries.size() == 4; });
-  const int second = Told(held.server.queries[2]), third = Told(held.server.queries[3]);
+  w.Until([&] { return held.server.queries.size() == 5; });
+  const int second = Told(held.server.queries[3]), third = Told(held.server.queries[4]);
   CHECK(second <= 59400);
   CHECK(third <= 59800);
   CHECK(third > second + 100);  // 400 ms lie between them
