Answer no writes with a directory while a later-started instance of the same name runs

Cause: an instance that stands aside declares no view, so 1.1 proof later it was bound to nothing and answered writes freely, while the other stood in the view by which all read; the first form of this held for 1.1 proof after each time it heard of that. Change: it holds until the other is heard to be over.

--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -42,8 +42,6 @@
   return options_.start_waits && !options_.alone && now - started_ <= BoundFor();
 }
 
-void Directory::StandAside(Time now) { aside_until_ = std::max(aside_until_, now + BoundFor()); }
-
 const Directory::Hold* Directory::LiveHold(Time now, session::Key key) const {
   const auto it = holds_.find(key);
   if (it == holds_.end() || now - it->second.leased >= options_.owner.lease) return nullptr;
@@ -52,7 +50,7 @@
 
 bool Directory::MayAnswer(Time now, session::Key key) const {
   if (!options_.writes_wait) return true;
-  if (now < aside_until_) return false;
+  if (aside_) return false;
   return !Bound(now) || LiveHold(now, key) != nullptr;
 }
 
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -75,9 +75,8 @@
   // Asks again where no answer has come.
   void Tick(Time now, Outbox& out);
   void Take(Time now, Life from, const Message& message, Outbox& out);
-  // An instance of the same name, started later, is heard: this one answers no writes for a while, free or
-  // not.
-  void StandAside(Time now);
+  // Whether an instance of the same name, started later, runs: this one answers no writes, free or not.
+  void StandAside(bool aside) { aside_ = aside; }
 
   bool Bound(Time now) const;
   // Whether it has stood by any view in its life.
@@ -131,7 +130,7 @@
   bool whole_ = false;
   Time whole_since_{};
   Time first_whole_{};  // under this view
-  Time aside_until_{};
+  bool aside_ = false;
   std::unordered_map<session::Key, Hold> holds_;   // under `view_`
   std::unordered_map<session::Key, Want_> wants_;  // likewise
   std::uint64_t last_id_ = 0;
--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -448,7 +448,7 @@
 
 void Exchange::Stand(Time now, bool whole) {
   const members::Standing& standing = swim_.standing();
-  if (std::exchange(asides_, swim_.asides()) != swim_.asides()) directory_->StandAside(now);
+  directory_->StandAside(swim_.aside());
   const std::uint64_t declares = standing.Declares(now);
   if (declares != 0 && declares != owners_of_) {
     // Who knows nothing of a directory owns nothing. What a life understands is told with it, so all of one
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -153,7 +153,6 @@
   Options options_;
   Swim swim_;
   std::unique_ptr<directory::Directory> directory_;
-  std::uint64_t asides_ = 0;    // as last seen
   std::uint64_t changes_ = 0;   // of members, as last followed
   std::size_t flushed_to_ = 0;  // links to those that take marks
   // Lives that go by the directory, also those that were replaced: a view may still name them.
--- a/src/peers/swim.cpp
+++ b/src/peers/swim.cpp
@@ -356,9 +356,10 @@
     conflicts_ += directly;
   } else if (member.state() >= wire::Member::DEAD) {
     self_.set_started_us(member.started_us() + 1);
+    aside_ = false;
   } else {
     ++conflicts_;
-    ++asides_;
+    aside_ = true;
     standing_.StoodStill(now);
   }
 }
--- a/src/peers/swim.h
+++ b/src/peers/swim.h
@@ -76,8 +76,8 @@
   std::uint64_t conflicts() const { return conflicts_; }
   // Rises whenever what `peers` or `unheard_seeds` tell changes but for when a peer was heard.
   std::uint64_t changes() const { return changes_; }
-  // How often this instance heard that a later-started one of its name runs.
-  std::uint64_t asides() const { return asides_; }
+  // Whether a later-started one of its name runs, as far as this instance has heard: it stands aside.
+  bool aside() const { return aside_; }
   // How far this instance doubts itself: 0, or by how many times its periods and waits are longer.
   int doubt() const { return doubt_; }
   // How often it found that it had stood still, and what it then took back or put off.
@@ -155,7 +155,7 @@
   std::size_t next_seed_ = 0;
   Time next_dead_{};
   std::uint64_t conflicts_ = 0;
-  std::uint64_t asides_ = 0;
+  bool aside_ = false;
   std::uint64_t changes_ = 1;
   int doubt_ = 0;
   Time now_{};
--- a/tests/directory_exchange_test.cpp
+++ b/tests/directory_exchange_test.cpp
@@ -517,6 +517,30 @@
           fleet.waited_ms[fleet.waited_ms.size() * 99 / 100], ", at most ", fleet.waited_ms.back());
 }
 
+TEST_CASE("directory: one whose name another took later answers no writes until that one is over") {
+  Fleet fleet(2, {});
+  REQUIRE(fleet.UntilWhole(kSecond * 20));
+  Exchange& exchange = *fleet.nodes[0]->exchange;
+  const session::Key key = session::KeyOf(kGroup, "s1");
+  fleet.nodes[0]->Want(kGroup, key, true);
+  fleet.Pass(kSecond);
+  REQUIRE(exchange.MayAnswer(fleet.now, key));
+  wire::Packet packet;
+  *packet.mutable_sender() = fleet.nodes[1]->exchange->swim().self();
+  wire::Member& later = *packet.add_rumours();
+  later = exchange.swim().self();
+  later.set_life(4711);
+  later.set_started_us(later.started_us() + 1);
+  std::vector<Out> outs;
+  exchange.Take(fleet.now, "a1", packet, outs);
+  CHECK_FALSE(exchange.MayAnswer(fleet.now, key));
+  // Also once it is bound to nothing: the other is in the view by which they all read.
+  CHECK_FALSE(exchange.MayAnswer(fleet.now + kSecond * 3600, key));
+  packet.mutable_rumours(0)->set_state(wire::Member::DEAD);
+  exchange.Take(fleet.now, "a1", packet, outs);
+  CHECK(exchange.MayAnswer(fleet.now, key));
+}
+
 TEST_CASE("directory: asks for reads are capped, and what is not asked for is conservative") {
   Fleet fleet(4, {Way::kDirectory, 0, 1});
   REQUIRE(fleet.UntilWhole(kSecond * 20));
