--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -125,6 +125,8 @@
                        "hollow poolers with a process of their own, whose processor time is told");
   of_scale->add_option("--hosts", scale.hosts, "processes that host the others; 0: by their number");
   of_scale->add_option("--settle-s", scale.settle_s, "for all to meet, at most");
+  of_scale->add_flag("--compare", scale.compare,
+                     "plays it with marks from each to each as well, for over_budget_off");
   of_scale->add_option("--json", scale.json, "also write the record of the run to this file");
   of_scale->add_option("--commit", scale.commit, "what was built, for the record");
   CLI::App* hollow = app.add_subcommand("hollow-host", "one of the scale run's own processes")->group("");
--- a/lab/scale_host.h
+++ b/lab/scale_host.h
@@ -14,7 +14,7 @@
 struct ScaleSpec {
   std::string folder;  // for files of all
   std::string scope;   // of the sessions' guarantee
-  std::string marks;   // how they are exchanged
+  std::string marks = "each";   // how they are exchanged
   int poolers = 0, real = 0;
   int alone = 0;  // hollow poolers with a process of their own: the first
   int hosts = 0;  // processes for the others
--- a/lab/scale_run.cpp
+++ b/lab/scale_run.cpp
@@ -186,6 +186,12 @@
 
 class ScaleRun {
  public:
+  // Prints nothing.
+  void Quietly() { quiet_ = true; }
+  double Figure(const std::string& name) const {
+    const auto found = figures_.find(name);
+    return found == figures_.end() ? 0 : found->second;
+  }
   explicit ScaleRun(const ScaleOptions& options) : options_(options), random_(options.seed), changes_(loop_) {
     for (int left = options.databases; left > 0; left -= kMembersAGroup) {
       spec_.groups.push_back(std::min(left, kMembersAGroup));
@@ -640,6 +646,7 @@
   }
 
   void Print() {
+    if (quiet_) return;
     for (const auto& [name, value] : figures_) std::printf("%s %.6g\n", name.c_str(), value);
     std::fflush(stdout);
     if (options_.json.empty()) return;
@@ -665,6 +672,7 @@
 
   ScaleOptions options_;
   std::mt19937_64 random_;
+  bool quiet_ = false;
   net::Loop loop_;
   Folder folder_;
   ScaleSpec spec_;
@@ -690,7 +698,21 @@
     std::fprintf(stderr, "lynxgrade-lab: %s\n", wrong.c_str());
     return 2;
   }
-  return ScaleRun(options).Play();
+  if (!options.compare) return ScaleRun(options).Play();
+  // The same with each mark to each pooler: what the way that is played takes away has to show there.
+  ScaleOptions former = options;
+  former.marks = "each";
+  former.json.clear();
+  double off = 0;
+  {
+    ScaleRun run(former);
+    run.Quietly();
+    run.Play();
+    off = run.Figure("over_budget");
+  }
+  const int verdict = ScaleRun(options).Play();
+  std::printf("over_budget_off %.6g\n", off);
+  return verdict != 0 || off == 0 ? 1 : 0;
 }
 
 }  // namespace lynxgrade::lab
--- a/lab/scale_script.h
+++ b/lab/scale_script.h
@@ -29,6 +29,7 @@
   int alone = 4;      // of the hollow ones, each in a process of its own: their processor time is what counts
   int hosts = 0;      // processes that host the others; 0: by their number
   int settle_s = 90;  // to meet, at most
+  bool compare = false;  // also with marks from each to each, and how many rows are over their budget then
   std::string json;
   std::string commit;  // for the record alone
 };
