--- a/docs/capacity/curves.gp
+++ b/docs/capacity/curves.gp
@@ -16,10 +16,14 @@
   "docs/capacity/curves.dat" index 3 using 1:3 with lines title "control (marks: each), % of a core", \
   "docs/capacity/curves.dat" index 4 using 1:3 with lines title "a whole process without clients (marks: each), MB", \
   "docs/capacity/curves.dat" index 5 using 1:3 with lines title "control, as one instance more adds to a process (marks: each), MB", \
-  "docs/capacity/curves.dat" index 6 using 1:3 with lines title "two pauses between packets to one pooler, ms", \
-  "docs/capacity/curves.dat" index 7 using 1:3 with lines title "groups whose primary is told to one pooler in a round, needed", \
-  "docs/capacity/curves.dat" index 8 using 1:3 with lines title "wait of a read that asks poolers of the other region, ms", \
-  "docs/capacity/curves.dat" index 9 using 1:3 with lines title "answer to a ping across regions, ms", \
-  "docs/capacity/curves.dat" index 10 using 1:3 with lines title "needed so that clients idle for up to 15 s stay", \
-  "docs/capacity/curves.dat" index 11 using 1:3 with lines title "connections of poolers to one database", \
-  "docs/capacity/curves.dat" index 12 using 1:3 with lines title "answer of lynxgrade peers, bytes"
+  "docs/capacity/curves.dat" index 6 using 1:3 with lines title "membership alone, both ways (marks: directory), bytes a second", \
+  "docs/capacity/curves.dat" index 7 using 1:3 with lines title "control, all kinds, both ways (marks: directory), bytes a second", \
+  "docs/capacity/curves.dat" index 8 using 1:3 with lines title "control (marks: directory), % of a core", \
+  "docs/capacity/curves.dat" index 9 using 1:3 with lines title "control, as one instance more adds to a process (marks: directory), MB", \
+  "docs/capacity/curves.dat" index 10 using 1:3 with lines title "two pauses between packets to one pooler, ms", \
+  "docs/capacity/curves.dat" index 11 using 1:3 with lines title "groups whose primary is told to one pooler in a round, needed", \
+  "docs/capacity/curves.dat" index 12 using 1:3 with lines title "wait of a read that asks poolers of the other region, ms", \
+  "docs/capacity/curves.dat" index 13 using 1:3 with lines title "answer to a ping across regions, ms", \
+  "docs/capacity/curves.dat" index 14 using 1:3 with lines title "needed so that clients idle for up to 15 s stay", \
+  "docs/capacity/curves.dat" index 15 using 1:3 with lines title "connections of poolers to one database", \
+  "docs/capacity/curves.dat" index 16 using 1:3 with lines title "answer of lynxgrade peers, bytes"
--- a/lab/scale_run.cpp
+++ b/lab/scale_run.cpp
@@ -252,11 +252,11 @@
   }
 
  private:
-  // Where membership goes alone, the news of the meeting has few packets to go with: each member is told some
+  // Where no marks go to all, the news of the meeting has few packets to go with: each member is told some
   // 3 log2(n) times by each, six in a packet, ten packets a second.
   Duration WarmUp() const {
     Duration time = HasLoad(options_.script) ? kRecalled : kNewsOfMeeting;
-    if (options_.marks != "none") return time;
+    if (options_.marks == "each") return time;
     const double n = options_.poolers;
     return std::min(kLongestNews,
                     time + Duration(static_cast<std::int64_t>(1e6 * n * 3 * std::log2(n + 2) / 60)));
