--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -40,8 +40,8 @@
   struct Waits {
     // A write is about to be answered.
     session::Keeper::Wrote wrote;
-    // Calls back when the write told last, of this session, may be answered; false if it may be right now. What
-    // may not be by the end of its request fails then.
+    // Calls back when the write told last, of this session, may be answered; false if it may be right now.
+    // What may not be by the end of its request fails then.
     std::function<bool(GroupId, session::Key, std::function<void()>)> safe;
     // A read would do better with word from the other instances.
     std::function<void()> ask_others;
