Give the directory a budget of bytes, which reads wait for and writes do not

[peers] bytes_per_s is a token bucket over all that an instance sends and receives, heads included. What cannot wait (members, writes' asks, grants, recalls, releases) always goes and is taken off first; a read asks only while an ask and its grant fit, beside those that are out. One that does not fit takes the conservative target.

[peers] owner says that an instance is set aside to own; it has room for four times as many entries, as seven own for 410. `lynxgrade peers` prints what the directory holds, owns, asked, and held back.

Also: where each tells each, reigns were told anew from the first group each 500 ms, so of many groups only the first 40 or so were ever told anew. A cursor goes round instead, and changed reigns go first.

--- a/src/control/ask.cpp
+++ b/src/control/ask.cpp
@@ -53,6 +53,17 @@
             : fmt::format("proven for {:.1f} s more", json.at("proven_s").get<double>()),
         json.at("view").get<std::string>(), json.at("in_view").get<int>(), json.at("doubt").get<int>(),
         json.at("most_doubt").get<int>());
+    if (json.contains("directory")) {
+      const auto& directory = json.at("directory");
+      const auto count = [&directory](const char* name) { return directory.at(name).get<std::uint64_t>(); };
+      table += fmt::format(
+          "directory: {}; holds {} sessions, owns {}; {} asks, {} reads not to ask, {} of them over the "
+          "budget of bytes\n",
+          directory.at("owner").get<bool>() ? std::string("an owner set aside")
+          : count("owners_set_aside") > 0   ? fmt::format("{} owners set aside", count("owners_set_aside"))
+                                            : std::string("all own"),
+          count("holds"), count("entries"), count("asks"), count("capped"), count("over_budget"));
+    }
     const auto row = [&table](const auto&... cells) {
       table += fmt::format("{:<16} {:<22} {:<8} {:>9} {:>9}  {:<5} {}\n", cells...);
     };
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -6,7 +6,11 @@
 namespace lynxgrade::directory {
 
 Directory::Directory(const Options& options, Marks& marks, Time started)
-    : options_(options), marks_(marks), started_(started), owner_(options.owner) {
+    : options_(options),
+      marks_(marks),
+      started_(started),
+      owner_(options.owner),
+      budget_(options.bytes_per_s, started) {
   tokens_ = options_.reads_per_s;
   tokens_at_ = started;
 }
@@ -71,6 +75,18 @@
   return true;
 }
 
+bool Directory::Admits(Time now) {
+  // What is out already will be answered, and none of that is spent yet.
+  if (!budget_.Allows(now, kAskBytes * (wants_.size() + 1))) {
+    ++counts_.capped;
+    ++counts_.over_budget;
+    return false;
+  }
+  if (Token(now)) return true;
+  ++counts_.capped;
+  return false;
+}
+
 bool Directory::Want(Time now, GroupId group, session::Key key, Use use, Outbox& out) {
   if (!Bound(now) || view_ == 0) return false;  // nobody owns anything for who stands by nothing
   const Time until = now + (use == Use::kWrite ? kWantWrite : kWantRead);
@@ -86,10 +102,7 @@
   }
   // Where this instance is not proven whole itself no grant helps a read.
   if (use == Use::kRead && !whole_) return false;
-  if (use == Use::kRead && OwnerOf(key, lives_) != options_.self && !Token(now)) {
-    ++counts_.capped;
-    return false;
-  }
+  if (use == Use::kRead && OwnerOf(key, lives_) != options_.self && !Admits(now)) return false;
   Want_& want = wants_[key];
   want = {++last_id_, group, now, now, kFirstRetry, 0, until};
   Ask(now, key, want, out);
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "directory/budget.h"
 #include "directory/message.h"
 #include "directory/owner.h"
 
@@ -45,6 +46,8 @@
     Owner::Options owner;
     std::size_t holds = 65536;
     double reads_per_s = 50;  // asks for reads; beyond it they take the conservative target
+    // Of all kinds, sent and received: reads ask only while it holds. Zero: there is no such budget.
+    double bytes_per_s = 0;
     // Taken out by tests and the laboratory alone: each makes stale reads possible.
     bool writes_wait = true;     // rule W
     bool start_waits = true;     // a new life is bound to what its last may have declared
@@ -53,7 +56,9 @@
     bool serials = true;         // a recall undoes the ask that is out
   };
   struct Counts {
-    std::uint64_t asks = 0, grants = 0, exact = 0, recalled = 0, capped = 0;
+    std::uint64_t asks = 0, grants = 0, exact = 0, recalled = 0;
+    std::uint64_t capped = 0;       // reads that were not to ask, by whichever bound
+    std::uint64_t over_budget = 0;  // of these by that of bytes
   };
 
   Directory(const Options& options, Marks& marks, Time started);
@@ -72,6 +77,8 @@
   // is held, renews a lease that comes to its end. Whether an answer is expected that may make it so.
   enum class Use { kRead, kWrite };
   bool Want(Time now, GroupId group, session::Key key, Use use, Outbox& out);
+  // What this instance has sent or received, of whichever kind, heads included.
+  void Spent(Time now, std::size_t bytes) { budget_.Spend(now, bytes); }
   // Asks again where no answer has come.
   void Tick(Time now, Outbox& out);
   void Take(Time now, Life from, const Message& message, Outbox& out);
@@ -93,6 +100,8 @@
   static constexpr Duration kWantRead{200000};    // without an answer; a read waits less
   static constexpr Duration kWantWrite{1000000};  // since it was last wanted
   static constexpr Duration kSweepEvery{1000000};
+  // An ask and its grant, heads included: 92 and 107 bytes measured.
+  static constexpr std::size_t kAskBytes = 200;
 
   struct Hold {
     std::uint64_t serial = 0;
@@ -118,6 +127,8 @@
   void TakeGrant(Time now, Life from, const Message& grant);
   void TakeRecall(Time now, Life from, const Message& recall, Outbox& out);
   bool Token(Time now);
+  // Whether a read may ask another instance.
+  bool Admits(Time now);
   Duration BoundFor() const { return options_.proof + options_.proof / 10; }
 
   Options options_;
@@ -134,6 +145,7 @@
   std::unordered_map<session::Key, Hold> holds_;   // under `view_`
   std::unordered_map<session::Key, Want_> wants_;  // likewise
   std::uint64_t last_id_ = 0;
+  Budget budget_;
   double tokens_ = 0;
   Time tokens_at_{};
   Time swept_{};
--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -271,17 +271,29 @@
 // The present reigns that have changed since they were told, and now and then all of them.
 void Exchange::AddReigns(Time now, Link& link, wire::Packet& packet) {
   link.losses_told = keeper_.counts().losses;
-  if (now - link.reigns_told >= kReignsEvery) {
-    link.reigns.clear();
-    link.reigns_told = now;
-  }
-  for (const auto& [group, reigns] : keeper_.reigns()) {
-    if (static_cast<std::size_t>(packet.reigns_size()) >= kReignsAPacket) return;
-    if (!reigns.primary()) continue;
-    const auto told = link.reigns.find(group);
-    if (told != link.reigns.end() && told->second == reigns.since()) continue;
+  const std::map<GroupId, session::Reigns>& all = keeper_.reigns();
+  const auto full = [&packet] { return static_cast<std::size_t>(packet.reigns_size()) >= kReignsAPacket; };
+  const auto tell = [&](GroupId group, const session::Reigns& reigns) {
     link.reigns[group] = reigns.since();
     FillReign(*packet.add_reigns(), group, reigns);
+  };
+  for (const auto& [group, reigns] : all) {
+    if (full()) return;
+    if (!reigns.primary()) continue;
+    const auto told = link.reigns.find(group);
+    if (told == link.reigns.end() || told->second != reigns.since()) tell(group, reigns);
+  }
+  // What was told may have been lost, and reigns are confirmed as they last. The round goes on where it was:
+  // begun anew each time it would never come to the last of many groups.
+  if (link.reigns_left == 0 && now - link.reigns_round >= kReignsEvery) {
+    link.reigns_left = all.size();
+    link.reigns_round = now;
+  }
+  for (; link.reigns_left > 0 && !full(); --link.reigns_left) {
+    auto next = all.upper_bound(link.reigns_at);
+    if (next == all.end()) next = all.begin();
+    link.reigns_at = next->first;
+    if (next->second.primary()) tell(next->first, next->second);
   }
 }
 
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -60,6 +60,10 @@
   std::optional<Position> Exact(Time now, session::Key key);
   bool MayAnswer(Time now, session::Key key);
   bool Want(Time now, GroupId group, session::Key key, directory::Directory::Use use, std::vector<Out>& out);
+  // What was sent or received, as bytes of packets with all their heads: reads ask while a budget bears it.
+  void Spent(Time now, std::size_t bytes) {
+    if (directory_ != nullptr) directory_->Spent(now, bytes);
+  }
   // Whether what a former life of this instance may have promised is over.
   bool MayServe(Time now);
   const directory::Directory* directory() const { return directory_.get(); }
@@ -79,8 +83,8 @@
   static constexpr int kPacketsAFlush = 16;         // to one peer
   static constexpr int kChunksAFlush = 8;
   static constexpr std::size_t kReignsAPacket = 8;
-  static constexpr Duration kResend{30000};  // without an acknowledgement
-  static constexpr Duration kReignsEvery{500000};
+  static constexpr Duration kResend{30000};        // without an acknowledgement
+  static constexpr Duration kReignsEvery{500000};  // a round of all, at the most often
   static constexpr Duration kSkew{1000000};  // clocks are one, or nearly: for the start of a peer's life
 
   struct Link {
@@ -103,7 +107,11 @@
     std::uint64_t losses_told = 0;       // changes of primary when it was last told of reigns
     bool dead = false;                   // as last said
     std::map<GroupId, Position> reigns;  // as last told
-    Time reigns_told{};
+    // All are told anew, one after the other over many packets: how many are left of this round, when it
+    // began, and the last one that was told.
+    std::size_t reigns_left = 0;
+    Time reigns_round{};
+    GroupId reigns_at{};
   };
 
   session::Ledger::Known Newest(session::Key key) const override { return keeper_.ledger().Find(key); }
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -15,6 +15,10 @@
 // Sessions that an instance keeps in its directory and holds at least, whatever the ledger's capacity: 15 MB
 // when full, 150 bytes an entry and 72 a hold.
 constexpr std::size_t kLeastEntries = 65536;
+// Of one that is set aside to own for all: of 410 poolers that each meet 17 sessions a second for the first
+// time, entries being kept for some 63 s, seven owners have 63,000 each, half as many more in the worst
+// second, and each of three that are left 146,000. 39 MB when full.
+constexpr std::size_t kOwnersEntries = 262144;
 
 std::string TextOf(const net::Address& address) {
   const bool six = address.host.find(':') != std::string::npos;
@@ -98,7 +102,10 @@
     directory::Directory::Options& directory = options.directory.emplace();
     directory.owner.recall = keeper_.recall();
     directory.owner.entries = directory.holds = std::max(kLeastEntries, keeper_.ledger().buckets() * 4);
+    if (setup_.owner) directory.owner.entries = std::max(directory.owner.entries, kOwnersEntries);
     directory.reads_per_s = setup_.asks_per_s;
+    directory.bytes_per_s = setup_.bytes_per_s;
+    options.swim.owns = setup_.owner;
     directory.writes_wait = setup_.marks == Marks::kDirectory;
     directory.owner.recalls = directory.writes_wait;
     if (!directory.writes_wait) spdlog::warn("peers: sessions have several holders: reads may miss writes");
@@ -196,6 +203,16 @@
                          {"unheard", swim.unheard_seeds()},
                          {"peers", nlohmann::json::array()}};
   if (value.until) json["proven_s"] = seconds(*value.until - now);
+  if (const directory::Directory* directory = exchange_->directory()) {
+    const auto& counts = directory->counts();
+    const auto& granted = directory->owner().counts();
+    json["directory"] = {{"owner", setup_.owner},       {"owners_set_aside", swim.owners().size()},
+                         {"holds", directory->holds()}, {"entries", directory->owner().size()},
+                         {"asks", counts.asks},         {"grants", counts.grants},
+                         {"exact", counts.exact},       {"recalled", counts.recalled},
+                         {"capped", counts.capped},     {"over_budget", counts.over_budget},
+                         {"granted", granted.grants},   {"denied", granted.denied}};
+  }
   static constexpr std::array kStates = {"alive", "suspect", "dead", "left"};
   for (const auto& [name, peer] : swim.peers()) {
     const auto differs = swim.differences().find(name);
@@ -284,6 +301,7 @@
     if (passes_ && !passes_(out.address)) continue;
     const std::string datagram = envelope_->Seal(out.packet);
     Note(traffic_.out, out.packet, datagram.size());
+    exchange_->Spent(loop_.Precise(), datagram.size() + Traffic::kHeads);
     // A datagram that cannot be sent now is a lost one.
     g_socket_send_to(socket_.get(), target.get(), datagram.data(), datagram.size(), nullptr, nullptr);
   }
@@ -309,6 +327,7 @@
   auto opened = envelope_->Open(datagram);
   if (const auto* packet = std::get_if<wire::Packet>(&opened)) {
     Note(traffic_.in, *packet, datagram.size());
+    exchange_->Spent(loop_.Precise(), datagram.size() + Traffic::kHeads);
     // Not the time at which this pass began: the ages of words are told up to the moment of the answer, and
     // the process may have stood still in between.
     return exchange_->Take(loop_.Precise(), from, *packet, out_);
--- a/src/setup.cpp
+++ b/src/setup.cpp
@@ -177,11 +177,21 @@
                 {"directory-plain", Marks::kDirectoryPlain}});
   if (const auto asks = section.Whole("asks_per_s", 0, 100'000))
     peers.asks_per_s = static_cast<double>(*asks);
+  // Up to what a line of 8 Gbit/s carries: more is a slip.
+  if (const auto bytes = section.Whole("bytes_per_s", 0, 1'000'000'000))
+    peers.bytes_per_s = static_cast<double>(*bytes);
+  section.Flag("owner", peers.owner);
   section.Word("members", peers.plain_members, {{"proven", false}, {"plain", true}});
   section.Close();
   if (peers.marks != Marks::kEach && peers.plain_members) {
     section.Refuse("marks", "needs proven members: a directory counts on no two views being proven at once");
   }
+  if (peers.marks == Marks::kEach && peers.owner) {
+    section.Refuse("owner", "is of use only where 'peers.marks' is \"directory\"");
+  }
+  if (peers.marks == Marks::kEach && peers.bytes_per_s > 0) {
+    section.Refuse("bytes_per_s", "holds back asks, which only a directory has: set 'peers.marks'");
+  }
   if (!peers.listen) {
     if (peers.marks != Marks::kEach) section.Refuse("marks", "says how, but 'peers.listen' names no address");
     if (!peers.seeds.empty()) section.Refuse("seeds", "name others, but 'peers.listen' names no address");
--- a/src/setup.h
+++ b/src/setup.h
@@ -43,6 +43,10 @@
   Duration join_within{3000000};  // a start waits no longer than this for the others to count this instance
   Marks marks = Marks::kEach;
   double asks_per_s = 20;  // kDirectory: asks for reads, at most; beyond it they have the conservative target
+  // kDirectory: a budget of all that is sent and received, with the heads of UDP and IPv4. Reads ask only
+  // while it holds; what cannot wait goes in any case. Zero: none.
+  double bytes_per_s = 0;
+  bool owner = false;  // kDirectory: set aside to own sessions for all; clients are sent elsewhere
   // SWIM alone, and parts claimed by those seen: two parts may both hold themselves for the larger. For
   // comparison in the laboratory.
   bool plain_members = false;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -102,6 +102,16 @@
     CAPTURE(std::get<std::string>(table));
     CHECK(std::get<std::string>(table).find(says) != std::string::npos);
   }
+  // With a directory of sessions.
+  std::string with = answer;
+  with.insert(1,
+              R"("directory":{"owner":false,"owners_set_aside":7,"holds":12,"entries":3,"asks":40,)"
+              R"("grants":39,"exact":38,"recalled":5,"capped":9,"over_budget":4,"granted":0,"denied":0},)");
+  const auto both = PeersTable(with);
+  REQUIRE(std::holds_alternative<std::string>(both));
+  CHECK(std::get<std::string>(both).find(
+            "directory: 7 owners set aside; holds 12 sessions, owns 3; 40 asks, 9 "
+            "reads not to ask, 4 of them over the budget of bytes\n") != std::string::npos);
   struct Case {
     const char *text, *says;
   };
