Find a receiver's address by its life, and play the laboratory's sessions with an owner set aside

An owner set aside posts thousands of messages a second at the target, and looked through all members for each.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -86,6 +86,7 @@
       ->check(CLI::Range(1.0, 2000.0));
   of_sessions->add_option("--marks", sessions.marks, "how the poolers know of each other's writes")
       ->check(CLI::IsMember({"each", "directory"}));
+  of_sessions->add_flag("--owner", sessions.owner, "directory: the second pooler is set aside to own");
   of_sessions->add_option("--only", sessions.only, "one scenario")
       ->check(CLI::IsMember({"calm", "restart_disk", "restart_bare", "promotion", "rotation", "links"}));
   of_sessions->add_option("--json", sessions.json, "also write the figures to this file");
--- a/lab/sessions_run.cpp
+++ b/lab/sessions_run.cpp
@@ -167,6 +167,7 @@
       settings += "marks = \"" + options.marks + (mode == Mode::kPart ? "-plain" : "") + "\"\n";
       // Half of all reads roam here, some hundreds a second: far beyond what a budget would let ask.
       settings += "asks_per_s = 10000\n";
+      if (options.owner && i == 1) settings += "owner = true\n";
       if (scenario.disk) settings += "[state]\nfolder = \"" + folder_.path() + "/state-" + name + "\"\n";
       PoolerProcess::Files files;
       files.program = options.pooler;
--- a/lab/sessions_run.h
+++ b/lab/sessions_run.h
@@ -14,8 +14,9 @@
   double per_s = 250;          // sessions begun a second
   bool keep_logs = false;      // prints where the poolers' logs are, and leaves them
   std::string marks = "each";  // or "directory", as in the poolers' settings
-  std::string only;            // one of the scenarios by name; all where empty
-  std::string json;            // the figures, as JSON, to this file
+  bool owner = false;  // directory: the second pooler is set aside to own, though clients go to it too
+  std::string only;    // one of the scenarios by name; all where empty
+  std::string json;    // the figures, as JSON, to this file
 };
 
 // Prints a figure a line; 0 where every rule was kept and the judge saw stale reads with the subsystem off.
--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -125,8 +125,10 @@
       return !std::ranges::binary_search(swim_.standing().lives(), life);
     });
   }
+  addresses_.clear();
   for (const auto& [name, peer] : swim_.peers()) {
     if (Directed(peer.member)) directed_.insert(peer.member.life());
+    addresses_[peer.member.life()] = peer.member.address();
   }
   for (const auto& [name, peer] : swim_.peers()) {
     if (peer.member.state() == wire::Member::LEFT) {
@@ -572,11 +574,11 @@
     if (one.tries >= kTriesAlone) silent.insert(one.to);
   }
   for (const auto& [receiver, messages] : posts) {
-    const auto peer = std::ranges::find_if(
-        swim_.peers(), [&](const auto& item) { return item.second.member.life() == receiver.first; });
-    if (peer == swim_.peers().end()) continue;  // it is asked for again, or its lease runs out
+    // An owner set aside posts thousands a second: it does not look through all members for each.
+    const auto address = addresses_.find(receiver.first);
+    if (address == addresses_.end()) continue;  // it is asked for again, or its lease runs out
     for (std::size_t next = 0; next < messages.size();) {
-      Out bare = Bare(peer->second.member.address());
+      Out bare = Bare(address->second);
       wire::Directory& said = *bare.packet.mutable_directory();
       said.set_view_for_life(receiver.second ^ Mixed(receiver.first));
       for (; next < messages.size() && said.entries_size() < kEntriesAPacket; ++next) {
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "directory/directory.h"
@@ -167,7 +168,8 @@
   std::size_t flushed_to_ = 0;  // links to those that take marks
   // Lives that go by the directory, also those that were replaced: a view may still name them.
   std::set<std::uint64_t> directed_;
-  std::vector<directory::Life> owners_;  // those of the view `owners_of_`
+  std::unordered_map<std::uint64_t, std::string> addresses_;  // by life, of all members as last followed
+  std::vector<directory::Life> owners_;                       // those of the view `owners_of_`
   std::uint64_t owners_of_ = 0;
   Time doubted_until_{};  // an older life of somebody's name was heard beside the one that counts
   // Up to when all of the view are known to stand by it, by the words and members that there were.
