--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lynxgrade::peers {
@@ -45,6 +46,7 @@
 Swim::Options Exchange::SwimOptions(const Options& options) {
   Swim::Options swim = options.swim;
   if (options.directory) swim.speaks = kDirected;
+  swim.owns = swim.owns && options.directory;  // who knows nothing of a directory owns nothing
   return swim;
 }
 
@@ -123,8 +125,10 @@
       return !std::ranges::binary_search(swim_.standing().lives(), life);
     });
   }
+  addresses_.clear();
   for (const auto& [name, peer] : swim_.peers()) {
     if (Directed(peer.member)) directed_.insert(peer.member.life());
+    addresses_[peer.member.life()] = peer.member.address();
   }
   for (const auto& [name, peer] : swim_.peers()) {
     if (peer.member.state() == wire::Member::LEFT) {
@@ -269,17 +273,29 @@
 // The present reigns that have changed since they were told, and now and then all of them.
 void Exchange::AddReigns(Time now, Link& link, wire::Packet& packet) {
   link.losses_told = keeper_.counts().losses;
-  if (now - link.reigns_told >= kReignsEvery) {
-    link.reigns.clear();
-    link.reigns_told = now;
-  }
-  for (const auto& [group, reigns] : keeper_.reigns()) {
-    if (static_cast<std::size_t>(packet.reigns_size()) >= kReignsAPacket) return;
-    if (!reigns.primary()) continue;
-    const auto told = link.reigns.find(group);
-    if (told != link.reigns.end() && told->second == reigns.since()) continue;
+  const std::map<GroupId, session::Reigns>& all = keeper_.reigns();
+  const auto full = [&packet] { return static_cast<std::size_t>(packet.reigns_size()) >= kReignsAPacket; };
+  const auto tell = [&](GroupId group, const session::Reigns& reigns) {
     link.reigns[group] = reigns.since();
     FillReign(*packet.add_reigns(), group, reigns);
+  };
+  for (const auto& [group, reigns] : all) {
+    if (full()) return;
+    if (!reigns.primary()) continue;
+    const auto told = link.reigns.find(group);
+    if (told == link.reigns.end() || told->second != reigns.since()) tell(group, reigns);
+  }
+  // What was told may have been lost, and reigns are confirmed as they last. The round goes on where it was:
+  // begun anew each time it would never come to the last of many groups.
+  if (link.reigns_left == 0 && now - link.reigns_round >= kReignsEvery) {
+    link.reigns_left = all.size();
+    link.reigns_round = now;
+  }
+  for (; link.reigns_left > 0 && !full(); --link.reigns_left) {
+    auto next = all.upper_bound(link.reigns_at);
+    if (next == all.end()) next = all.begin();
+    link.reigns_at = next->first;
+    if (next->second.primary()) tell(next->first, next->second);
   }
 }
 
@@ -453,12 +469,14 @@
   directory_->StandAside(swim_.aside());
   const std::uint64_t declares = standing.Declares(now);
   if (declares != 0 && declares != owners_of_) {
-    // Who knows nothing of a directory owns nothing. What a life understands is told with it, so all of one
-    // view find the same ones.
     owners_of_ = declares;
-    owners_.clear();
-    for (const std::uint64_t life : standing.lives()) {
-      if (life == swim_.self().life() || directed_.contains(life)) owners_.push_back(life);
+    owners_ = swim_.owners();
+    if (owners_.empty()) {
+      // Nobody is set aside: all that go by the directory. That a life does is told with it, so all of one
+      // view find the same ones.
+      std::ranges::copy_if(standing.lives(), std::back_inserter(owners_), [this](std::uint64_t life) {
+        return life == swim_.self().life() || directed_.contains(life);
+      });
     }
   }
   directory_->See(now, {declares, whole ? std::optional(Whole(now)) : std::nullopt, &owners_});
@@ -556,11 +574,11 @@
     if (one.tries >= kTriesAlone) silent.insert(one.to);
   }
   for (const auto& [receiver, messages] : posts) {
-    const auto peer = std::ranges::find_if(
-        swim_.peers(), [&](const auto& item) { return item.second.member.life() == receiver.first; });
-    if (peer == swim_.peers().end()) continue;  // it is asked for again, or its lease runs out
+    // An owner set aside posts thousands a second: it does not look through all members for each.
+    const auto address = addresses_.find(receiver.first);
+    if (address == addresses_.end()) continue;  // it is asked for again, or its lease runs out
     for (std::size_t next = 0; next < messages.size();) {
-      Out bare = Bare(peer->second.member.address());
+      Out bare = Bare(address->second);
       wire::Directory& said = *bare.packet.mutable_directory();
       said.set_view_for_life(receiver.second ^ Mixed(receiver.first));
       for (; next < messages.size() && said.entries_size() < kEntriesAPacket; ++next) {
