Prove that a large fleet stands together by claims for blocks of its view

Cause: each answer told the ages of all words, a byte a member: at 410 instances most of what quiet membership sends. Ruled out: fewer thresholds (a bit a member each) and coarser ages, as each hand rounds up and the proof is spent on that; ages on every second answer alone, which halves bytes and doubles the spread; a field for what a life understands: a ping says itself that claims are enough, so whoever does not know them is told the ages of all, and tells them. Change: a view of more than 64 is cut into blocks, as many as each has members. An answer tells for each block how old the oldest word of it is, and the single ages of the asker's block; every second ping goes to one's own block. Whoever has not all proven, or with less than two fifths of the proof left, asks over all and is told the ages of all as before: starts, cuts and restarts go as they did. Words are kept by place in the view, not in a hash table; who is suspected or gone is looked for only if there is one.

--- a/src/members/standing.h
+++ b/src/members/standing.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -46,6 +47,12 @@
   static constexpr int kDriftParts = 10;
   static constexpr int kAgeUnits = 250;  // of the proof, in what is told of a word's age
   static constexpr unsigned char kNoWord = 255;
+  // Members above which claims for blocks are worth having. Up to here the ages of all are fewer bytes than
+  // the rest of a packet (some 80), and words go round without anybody being asked more often than others.
+  static constexpr std::size_t kLargestWithoutBlocks = 64;
+  // Of the proof that is left, in hundredths: with less an instance wants the ages of all. They reach all in
+  // a third of the proof, so what the blocks were late with is still made good before it lapses.
+  static constexpr int kLeastLeftPercent = 40;
 
   // In doubt from `now` on.
   Standing(Options options, Time now);
@@ -60,6 +67,17 @@
   // What an answer at `now` tells one who has the view `view`: a byte a member, in units of the proof's 250th
   // part, rounded up; kNoWord: no word of it counts. Empty where views differ.
   std::string Ages(Time now, std::uint64_t view) const;
+  // The same in fewer bytes. The view is cut into blocks of neighbours, as many as each has members or one
+  // more. A *claim* for a block says since when at the latest all of it are known to have stood by the view:
+  // a byte for each block. Behind them the ages of the members of the block of `asker`, who is of the view
+  // (else empty): there single words meet, and become claims. Also empty where views differ.
+  std::string BlockAges(Time now, std::uint64_t view, std::uint64_t asker) const;
+  void ToldBlocks(Time asked, std::uint64_t view, std::string_view ages);
+  // Whether claims are enough for this instance at `now`, as it wants nothing in a hurry: all of a large view
+  // are proven, and for long enough.
+  bool ClaimsSuffice(Time now) const;
+  // The lives of this instance's own block, ascending.
+  std::span<const std::uint64_t> OwnBlock() const;
   // The process stood still until `now`: others may have settled on what it knows nothing of.
   void StoodStill(Time now);
   // The view as last seen, and what goes out with each answer at `now`: the same, or zero while not settled.
@@ -86,12 +104,23 @@
     Time asked{};
     std::uint64_t declares = 0;
   };
+  std::size_t PlaceOf(std::uint64_t life) const;  // in the view; how many there are, where it is not in it
+  // When the life at this place is known to have stood by the view, by its own word or by its block's claim.
+  // A word that it stands by another, or none, undoes older claims.
+  std::optional<Time> StoodAt(std::size_t place) const;
+  unsigned char AgeOf(Time now, std::optional<Time> stood) const;
+  Time SaidAt(Time asked, unsigned char age) const { return asked - options_.proof * age / kAgeUnits; }
+
   Options options_;
   std::uint64_t digest_ = 0;
   std::vector<std::uint64_t> lives_;
+  std::vector<Word> words_;                            // of these, in their order
+  std::vector<std::size_t> blocks_;                    // where each begins, and the end of the last
+  std::vector<std::size_t> block_of_;                  // by place
+  std::vector<Time> claims_;                           // by block; zero: none
+  std::unordered_map<std::uint64_t, Word> strangers_;  // words of lives that are not of the view, yet
   Time settled_;
   Time heard_out_;  // until then those in reach may not all have been heard yet
-  std::unordered_map<std::uint64_t, Word> words_;  // by life
   Part part_ = Part::kInDoubt;
   Time since_;
 };
--- a/src/peers/swim.cpp
+++ b/src/peers/swim.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <span>
+#include <tuple>
 #include <utility>
 
 namespace lynxgrade::peers {
@@ -18,7 +20,9 @@
 // Words double in number of holders with each period, as each asks one other; and two periods for a first
 // ping to each and for those that are asked last.
 constexpr double kSpreadMore = 2;
-constexpr int kAskedPart = 15;     // tenths of a period, in which who lives has answered
+constexpr int kAskedPart = 15;  // tenths of a period, in which who lives has answered
+// In a ping: claims for blocks are enough for its sender, the ages of all need not be told.
+constexpr const char* kClaimsSuffice = "b";
 constexpr int kEntriesARoll = 60;  // some 1,000 bytes: one datagram on any path
 constexpr int kNewsARoll = 16;     // members told in answer to one
 
@@ -55,14 +59,20 @@
   *packet.mutable_sender() = self_;
   packet.set_view(standing_.view());
   packet.set_stands(standing_.Declares(now_) != 0);
-  std::vector<std::pair<int, std::string>> order;
-  for (const auto& [name, told] : rumours_) order.emplace_back(told, name);
-  std::sort(order.begin(), order.end());
+  if (rumours_.empty()) return;
+  std::vector<std::map<std::string, int>::iterator> order;
+  order.reserve(rumours_.size());
+  for (auto rumour = rumours_.begin(); rumour != rumours_.end(); ++rumour) order.push_back(rumour);
+  const auto few = std::min<std::size_t>(order.size(), kRumoursAPacket);
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(few), order.end(),
+                    [](const auto& a, const auto& b) {
+                      return std::tie(a->second, a->first) < std::tie(b->second, b->first);
+                    });
   const double most = kTellings * std::log2(static_cast<double>(peers_.size()) + 2);
-  for (std::size_t i = 0; i < order.size() && i < kRumoursAPacket; ++i) {
-    const auto peer = peers_.find(order[i].second);
+  for (std::size_t i = 0; i < few; ++i) {
+    const auto peer = peers_.find(order[i]->first);
     if (peer != peers_.end()) *packet.add_rumours() = peer->second.member;
-    if (++rumours_[order[i].second] >= most || peer == peers_.end()) rumours_.erase(order[i].second);
+    if (++order[i]->second >= most || peer == peers_.end()) rumours_.erase(order[i]);
   }
 }
 
@@ -72,6 +82,7 @@
   if (about != nullptr && about->member.state() != wire::Member::ALIVE) {
     *ping.packet.add_rumours() = about->member;
   }
+  if (standing_.ClaimsSuffice(now_)) ping.packet.set_block_ages(kClaimsSuffice);
   Dress(ping.packet);
   out.push_back(std::move(ping));
 }
@@ -99,21 +110,30 @@
   const Duration period = options_.period * (doubt_ + 1);
   next_ = std::max(next_ + period, now + period / 2);
   asked_ = 0;
+  if (suspects_ > 0) CondemnSuspects(now);
+  if (gone_ > 0) ForgetGone(now);
+  BeginProbe(now, out);
+  if (!unheard_.empty()) Ping(unheard_[next_seed_++ % unheard_.size()], random_(), out);
+}
+
+void Swim::CondemnSuspects(Time now) {
   for (auto& [name, peer] : peers_) {
     if (peer.member.state() != wire::Member::SUSPECT || now - peer.changed < Patience(peer)) continue;
     wire::Member dead = peer.member;
     dead.set_state(wire::Member::DEAD);
     if (!AskFirst(now, peer, dead)) Set(now, peer, wire::Member::DEAD);
   }
+}
+
+void Swim::ForgetGone(Time now) {
   std::erase_if(peers_, [&](const auto& item) {
     if (item.second.member.state() < wire::Member::DEAD) return false;
     if (now - item.second.changed < options_.forget) return false;
     differences_.erase(item.first);
     ++changes_;
+    moved_ = true;
     return true;
   });
-  BeginProbe(now, out);
-  if (!unheard_.empty()) Ping(unheard_[next_seed_++ % unheard_.size()], random_(), out);
 }
 
 void Swim::PressProbe(Time now, std::vector<Out>& out) {
@@ -143,6 +163,7 @@
     Out request{others[i]->member.address(), {}};
     request.packet.mutable_ping_for()->set_address(address);
     request.packet.mutable_ping_for()->set_nonce(probe_->nonce);
+    if (standing_.ClaimsSuffice(now)) request.packet.set_block_ages(kClaimsSuffice);
     Dress(request.packet);
     out.push_back(std::move(request));
   }
@@ -151,6 +172,7 @@
 void Swim::PingDead(Time now, std::vector<Out>& out) {
   if (now < next_dead_) return;
   next_dead_ = now + options_.period * kDeadEvery;
+  if (gone_ == 0) return;
   std::vector<const Peer*> dead;
   for (const auto& [name, peer] : peers_) {
     if (peer.member.state() == wire::Member::DEAD) dead.push_back(&peer);
@@ -226,7 +248,7 @@
     relay.nacked = true;
     Out nack{relay.address, {}};
     nack.packet.mutable_nack()->set_nonce(relay.nonce);
-    nack.packet.set_ages(standing_.Ages(now, relay.view));
+    AddWords(now, relay.life, relay.view, relay.claims_suffice, nack.packet);
     Dress(nack.packet);
     out.push_back(std::move(nack));
   }
@@ -250,16 +272,34 @@
   }
 }
 
+bool Swim::ProbeNext(Time now, std::vector<std::string>& round, std::vector<Out>& out) {
+  while (!round.empty()) {
+    const std::string name = round.back();
+    round.pop_back();
+    const auto it = peers_.find(name);
+    if (it == peers_.end() || it->second.member.state() > wire::Member::SUSPECT) continue;
+    probe_ = Probe{name, random_(), now, false};
+    Ping(it->second.member.address(), probe_->nonce, out, &it->second);
+    return true;
+  }
+  return false;
+}
+
 void Swim::BeginProbe(Time now, std::vector<Out>& out) {
-  for (int tries = 0; tries < 2; ++tries) {
-    while (!round_.empty()) {
-      const std::string name = round_.back();
-      round_.pop_back();
-      const auto it = peers_.find(name);
-      if (it == peers_.end() || it->second.member.state() > wire::Member::SUSPECT) continue;
-      probe_ = Probe{name, random_(), now, false};
-      return Ping(it->second.member.address(), probe_->nonce, out, &it->second);
+  // Claims are made where the words of a block meet: in those of it who ask each other. Every other ping goes
+  // over all as ever, so each member is asked within twice as many periods as there are.
+  block_next_ = !block_next_ && standing_.ClaimsSuffice(now);
+  if (block_next_) {
+    if (ProbeNext(now, block_round_, out)) return;
+    const std::span<const std::uint64_t> block = standing_.OwnBlock();
+    for (const auto& [name, peer] : peers_) {
+      if (std::ranges::binary_search(block, peer.member.life())) block_round_.push_back(name);
     }
+    std::shuffle(block_round_.begin(), block_round_.end(), random_);
+    if (ProbeNext(now, block_round_, out)) return;
+  }
+  for (int tries = 0; tries < 2; ++tries) {
+    if (ProbeNext(now, round_, out)) return;
     for (const auto& [name, peer] : peers_) round_.push_back(name);
     std::shuffle(round_.begin(), round_.end(), random_);
   }
@@ -337,12 +377,16 @@
   // Instances that count words for different times, or against different sizes, are never of one view.
   std::uint64_t digest =
       mixed(self_.life()) + mixed(options_.size) + mixed(~static_cast<std::uint64_t>(proof().count()));
-  for (const auto& [name, peer] : peers_) {
-    if (peer.member.state() <= wire::Member::SUSPECT) digest += mixed(peer.member.life());
-  }
   std::vector<std::uint64_t> lives{self_.life()};
+  suspects_ = gone_ = 0;
   for (const auto& [name, peer] : peers_) {
-    if (peer.member.state() <= wire::Member::SUSPECT) lives.push_back(peer.member.life());
+    suspects_ += peer.member.state() == wire::Member::SUSPECT;
+    if (peer.member.state() > wire::Member::SUSPECT) {
+      ++gone_;
+      continue;
+    }
+    digest += mixed(peer.member.life());
+    lives.push_back(peer.member.life());
   }
   std::ranges::sort(lives);
   standing_.Saw(now, digest, lives);
@@ -367,6 +411,16 @@
 void Swim::TakeWords(const wire::Packet& packet) {
   standing_.Answered(packet.sender().life(), probe_->sent, packet.stands() ? packet.view() : 0);
   standing_.Told(probe_->sent, packet.view(), packet.ages());
+  standing_.ToldBlocks(probe_->sent, packet.view(), packet.block_ages());
+}
+
+void Swim::AddWords(Time now, std::uint64_t asker, std::uint64_t view, bool claims_suffice,
+                    wire::Packet& packet) const {
+  if (claims_suffice) {
+    packet.set_block_ages(standing_.BlockAges(now, view, asker));
+  } else {
+    packet.set_ages(standing_.Ages(now, view));
+  }
 }
 
 void Swim::CompareViews(Time now, const std::string& from, const wire::Packet& packet,
@@ -470,7 +524,7 @@
     if (relay != relays_.end() && !of_another) {
       Out ack{relay->second.address, {}};
       ack.packet.mutable_ack()->set_nonce(relay->second.nonce);
-      ack.packet.set_ages(standing_.Ages(now, relay->second.view));
+      AddWords(now, relay->second.life, relay->second.view, relay->second.claims_suffice, ack.packet);
       relays_.erase(relay);
       Dress(ack.packet);
       out.push_back(std::move(ack));
@@ -488,14 +542,19 @@
     if (it != peers_.end() && it->second.member.state() != wire::Member::ALIVE) Tell(packet.sender().name());
     Out ack{from, {}};
     ack.packet.mutable_ack()->set_nonce(packet.ping().nonce());
-    ack.packet.set_ages(standing_.Ages(now, packet.view()));
+    AddWords(now, packet.sender().life(), packet.view(), !packet.block_ages().empty(), ack.packet);
     Dress(ack.packet);
     out.push_back(std::move(ack));
   }
   if (packet.has_ping_for()) {
     const std::uint64_t nonce = random_();
-    relays_[nonce] = {from, packet.ping_for().nonce(), now + options_.period,
-                      now + options_.period * kNackAfter / 10, packet.view()};
+    relays_[nonce] = {from,
+                      packet.ping_for().nonce(),
+                      now + options_.period,
+                      now + options_.period * kNackAfter / 10,
+                      packet.view(),
+                      packet.sender().life(),
+                      !packet.block_ages().empty()};
     Ping(packet.ping_for().address(), nonce, out);
   }
 }
--- a/src/peers/swim.h
+++ b/src/peers/swim.h
@@ -109,6 +109,8 @@
     Time until{};
     Time nack_at{};
     std::uint64_t view = 0;  // of the one that asks
+    std::uint64_t life = 0;  // and its own
+    bool claims_suffice = false;
     bool nacked = false;
   };
 
@@ -116,6 +118,8 @@
   void MetNamesake(Time now, const wire::Member& member, bool directly);
   void Set(Time now, Peer& peer, wire::Member::State state);
   void Tell(const std::string& name);
+  void CondemnSuspects(Time now);  // the suspects whose time has run out
+  void ForgetGone(Time now);
   // Asks others for the one that does not answer, and asks it again.
   void PressProbe(Time now, std::vector<Out>& out);
   void EndProbe(Time now);
@@ -130,11 +134,16 @@
   void AskAccused(Time now, std::vector<Out>& out);
   void NackRelays(Time now, std::vector<Out>& out);
   void BeginProbe(Time now, std::vector<Out>& out);
+  // The next of this round who is not held dead, if any is left.
+  bool ProbeNext(Time now, std::vector<std::string>& round, std::vector<Out>& out);
   // `about`: a member whose news goes with it in any case; the pinged one, where it is thought ill of.
   void Ping(const std::string& address, std::uint64_t nonce, std::vector<Out>& out,
             const Peer* about = nullptr);
   std::size_t Living() const;
   void Look(Time now);
+  // What an answer tells of others' words to the life `asker`, whose view is `view`.
+  void AddWords(Time now, std::uint64_t asker, std::uint64_t view, bool claims_suffice,
+                wire::Packet& packet) const;
   // The word of an answer to the ping that is out, and what it tells of others.
   void TakeWords(const wire::Packet& packet);
   // The sender has another view: tells it what is held here, once in a while.
@@ -148,7 +157,10 @@
   std::mt19937_64 random_;
   std::map<std::string, Peer> peers_;
   std::map<std::string, int> rumours_;  // by member, how often told
-  std::vector<std::string> round_;
+  std::vector<std::string> round_, block_round_;
+  bool block_next_ = false;  // whose turn it is, of the two
+  // Of those that are known, as of the last look: without any of a kind nobody walks over all for them.
+  std::size_t suspects_ = 0, gone_ = 0;
   std::optional<Probe> probe_;
   std::map<std::uint64_t, Relay> relays_;
   Time next_{};
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -2,8 +2,12 @@
 // the real membership code on a network under a script, judged by what is true at each moment.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,6 +34,7 @@
   int two_majorities = 0;     // moments at which two views had more than half of the fleet each
   Duration stale_majority{};  // the longest time for which one that reached half or less claimed more
   std::uint64_t bytes = 0;
+  int told_ages = 0, told_blocks = 0;  // answers with the ages of all, and with claims for blocks
 };
 
 struct World {
@@ -83,7 +88,11 @@
   void Send(std::size_t from, std::vector<Out>& outs) {
     for (Out& out : outs) {
       const auto to = static_cast<std::size_t>(std::atoi(out.address.c_str() + 1));
+      if (former.contains(from) || former.contains(to)) out.packet.clear_block_ages();
       figures.bytes += out.packet.ByteSizeLong();
+      figures.told_ages += !out.packet.ages().empty();
+      figures.told_blocks += out.packet.has_ack() && !out.packet.block_ages().empty();
+      if (out.packet.has_ping()) asked[{from, to}] = now;
       if (to >= nodes.size() || cut.contains({from, to})) continue;
       for (int copy = random() % 20 == 0 ? 2 : 1; copy > 0; --copy) {
         if (static_cast<int>(random() % 100) < loss) continue;
@@ -208,6 +217,8 @@
   std::vector<Time> stopped;  // until when
   std::vector<Time> claimed;  // when a claim of more than half was last true, or absent
   std::set<std::pair<std::size_t, std::size_t>> cut, held_dead;
+  std::set<std::size_t> former;  // of a version that knows nothing of blocks: it neither says nor takes them
+  std::map<std::pair<std::size_t, std::size_t>, Time> asked;  // who pinged whom last
   std::priority_queue<Datagram, std::vector<Datagram>, std::greater<>> flying;
   std::uint64_t order = 0;
   Figures figures;
@@ -508,6 +519,120 @@
 }
 TEST_CASE("curve at 300" * doctest::skip()) { Mean(300, 0, 1); }
 
+// By hand: what a large fleet needs to be whole, after a start and after one of it began anew; how often one
+// that was whole is not, with nobody dead; for how long all are still proven; and bytes.
+// SIZES and LOSS (percent) by the environment, SETTLE_S before it is measured, MEASURE_S for which.
+TEST_CASE("curves of whole fleets" * doctest::skip()) {
+  const auto number = [](const char* name, int otherwise) {
+    const char* text = std::getenv(name);
+    return text != nullptr ? std::atoi(text) : otherwise;
+  };
+  const char* sizes = std::getenv("SIZES");
+  for (std::string text = sizes != nullptr ? sizes : "16 64"; !text.empty();) {
+    std::size_t used = 0;
+    const std::size_t count = std::stoul(text, &used);
+    text.erase(0, used);
+    World w(count, static_cast<std::uint64_t>(number("SEED", 1)));
+    w.loss = number("LOSS", 0);
+    w.judge_pairs = false;
+    w.judge_every = 20;
+    const auto all = Numbers(0, count);
+    const double start = Until(w, [&] { return w.All(all, Part::kWhole); });
+    w.Pass(kSecond * 10);
+    w.Begin(1);
+    w.Pass(kSecond * 2);  // until somebody has noticed
+    const double restart = 2 + Until(w, [&] { return w.All(all, Part::kWhole); });
+    w.Pass(kSecond * number("SETTLE_S", 60));
+    w.figures = {};
+    const int seconds = number("MEASURE_S", 30);
+    std::vector<double> left;
+    std::vector<bool> was(count, true);
+    int lapses = 0, lapsed = 0;
+    const std::clock_t before = std::clock();
+    for (int i = 0; i < seconds * 20; ++i) {
+      w.Pass(kTick * 5);
+      for (const std::size_t at : all) {
+        const auto until = w.nodes[at]->standing().AllUntil(w.now);
+        const bool whole = w.PartOf(at) == Part::kWhole;
+        lapses += was[at] && !whole;
+        lapsed += !whole;
+        was[at] = whole;
+        left.push_back(until ? 1e-6 * static_cast<double>((*until - w.now).count()) : -1);
+      }
+    }
+    const double cpu =
+        static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC / seconds / static_cast<double>(count);
+    std::ranges::sort(left);
+    std::printf(
+        "%zu, %d %%: whole after a start %.2f s, a restart %.2f s; not whole %d times, %.4f %% of the time; "
+        "left of the proof (%.2f s): least %.2f, 1st %.2f, 50th %.2f s; %.0f bytes/s; answers with the ages "
+        "of all %d, with claims %d; cpu %.5f\n",
+        count, w.loss, start, restart, lapses, 100.0 * lapsed / static_cast<double>(left.size()),
+        1e-6 * static_cast<double>(w.nodes[0]->proof().count()), left[0], left[left.size() / 100],
+        left[left.size() / 2], static_cast<double>(w.figures.bytes) / seconds / static_cast<double>(count),
+        w.figures.told_ages, w.figures.told_blocks, cpu);
+    std::fflush(stdout);
+  }
+}
+
+TEST_CASE("a large fleet that is whole stays so on claims for blocks, and each still asks each") {
+  constexpr std::size_t kCount = 100;
+  World w(kCount, 1);
+  w.judge_pairs = false;
+  w.judge_every = 10;
+  const auto all = Numbers(0, kCount);
+  REQUIRE(Until(w, [&] { return w.All(all, Part::kWhole); }) < kNever);
+  for (const int loss : {0, 5}) {
+    CAPTURE(loss);
+    w.loss = loss;
+    w.Pass(kSecond * 5);
+    w.figures = {};
+    int lapsed = 0;
+    const Time from = w.now;
+    // In each round of all every other turn is one's own block's; two rounds hold each pair for certain.
+    for (int i = 0; i < 4 * 10 * static_cast<int>(kCount) / 5; ++i) {
+      w.Pass(kTick * 10);
+      lapsed += !w.All(all, Part::kWhole);
+    }
+    CHECK(lapsed == 0);
+    CHECK(w.figures.told_blocks > w.figures.told_ages * 9);
+    std::size_t pairs = 0;
+    for (const auto& [pair, when] : w.asked) pairs += when >= from;
+    CHECK(pairs == kCount * (kCount - 1));
+  }
+}
+
+TEST_CASE("a fleet of two versions is whole, in each step of a rolling update") {
+  constexpr std::size_t kCount = 80;
+  World w(kCount, 2);
+  w.judge_pairs = false;
+  w.judge_every = 10;
+  for (std::size_t i = 0; i < kCount; ++i) w.former.insert(i);
+  const auto all = Numbers(0, kCount);
+  REQUIRE(Until(w, [&] { return w.All(all, Part::kWhole); }) < kNever);
+  for (const std::size_t updated : {1, 20, 40, 79, 80}) {
+    CAPTURE(updated);
+    for (std::size_t i = 0; i < updated; ++i) {
+      if (w.former.erase(i) > 0) w.Begin(i);
+    }
+    w.Pass(kSecond * 2);
+    REQUIRE(Until(w, [&] { return w.All(all, Part::kWhole); }) < kNever);
+    w.Pass(kSecond * 5);
+    w.figures = {};
+    int lapsed = 0;
+    for (int i = 0; i < 200; ++i) {
+      w.Pass(kTick * 5);
+      lapsed += !w.All(all, Part::kWhole);
+    }
+    CHECK(lapsed == 0);
+    // Who is of the former version is told the ages of all, by everybody, as is whoever asks one of them.
+    if (updated < kCount) CHECK(w.figures.told_ages > static_cast<int>(kCount - updated) * 10 * 5 * 9 / 10);
+    if (updated == kCount) CHECK(w.figures.told_blocks > w.figures.told_ages * 9);
+    CHECK((w.figures.told_blocks > 0) == (updated > 1));
+    CHECK(w.figures.two_majorities == 0);
+  }
+}
+
 TEST_CASE("a life that begins anew with a clock an hour behind is taken in again") {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     CAPTURE(seed);
@@ -634,5 +759,279 @@
   CHECK(counted > 1000);
 }
 
+std::string Bytes(const std::vector<int>& bytes) {
+  std::string text;
+  for (const int byte : bytes) text += static_cast<char>(byte);
+  return text;
+}
+
+TEST_CASE("standing: claims for blocks are told beside the ages of the asker's own block") {
+  const auto at = [](int ms) { return Time(Duration(std::int64_t{ms} * 1000)); };
+  const Duration proof(1000000);
+  const std::vector<std::uint64_t> lives{10, 20, 30, 40, 50, 60, 70};  // blocks of 2, 2 and 3
+  members::Standing a({10, 7, proof}, at(0));
+  a.Saw(at(0), 9, lives);
+  for (const auto& [life, ms] :
+       {std::pair{20, 1900}, {30, 1500}, {40, 1700}, {50, 1900}, {60, 1900}, {70, 1200}}) {
+    a.Answered(static_cast<std::uint64_t>(life), at(ms), 9);
+  }
+  // The age of a block is that of its oldest word; its own word it says with the answer itself.
+  CHECK(a.BlockAges(at(2000), 9, 30) == Bytes({25, 125, 200, 125, 75}));
+  CHECK(a.BlockAges(at(2000), 9, 20) == Bytes({25, 125, 200, 255, 25}));
+  CHECK(a.BlockAges(at(2000), 9, 60) == Bytes({25, 125, 200, 25, 25, 200}));
+  CHECK(a.BlockAges(at(2001), 9, 60) == Bytes({26, 126, 201, 26, 26, 201}));  // rounded up
+  CHECK(a.BlockAges(at(2000), 8, 20).empty());
+  CHECK(a.BlockAges(at(2000), 9, 21).empty());
+  // One word that has lapsed, or that it stands by another view now, and there is no claim.
+  CHECK(a.BlockAges(at(2201), 9, 20) == Bytes({76, 176, 255, 255, 76}));
+  a.Answered(40, at(1950), 8);
+  CHECK(a.BlockAges(at(2000), 9, 30) == Bytes({25, 255, 200, 125, 255}));
+  // Nor for its own block by one who stands by nothing.
+  members::Standing unsettled({10, 7, proof}, at(1500));
+  unsettled.Saw(at(1500), 9, lives);
+  for (const std::uint64_t life : lives) unsettled.Answered(life, at(1900), 9);
+  CHECK(unsettled.BlockAges(at(2000), 9, 20) == Bytes({255, 25, 25, 255, 25}));
+  CHECK(unsettled.BlockAges(at(2600), 9, 20) == Bytes({175, 175, 175, 255, 175}));
+}
+
+TEST_CASE("standing: what is told of blocks counts from the asking, and only in full and of the same view") {
+  const auto at = [](int ms) { return Time(Duration(std::int64_t{ms} * 1000)); };
+  const Duration proof(1000000);
+  const std::vector<std::uint64_t> lives{10, 20, 30, 40, 50, 60, 70};
+  struct Case {
+    std::string what;
+    std::uint64_t view;
+    std::string told;
+    int until_ms;  // from which to when all are proven; 0: they are not
+  };
+  for (const Case& c : {
+           Case{"all", 9, Bytes({25, 50, 75, 255, 0}), 2600},
+           Case{"the oldest of them decides", 9, Bytes({25, 250, 75, 255, 0}), 1900},
+           Case{"claims and no single age", 9, Bytes({25, 50, 75, 255, 255}), 2600},
+           Case{"of another view", 8, Bytes({25, 50, 75, 255, 0}), 0},
+           Case{"of another view, claims and no single age", 8, Bytes({25, 50, 75, 255, 255}), 0},
+           Case{"nothing", 9, "", 0},
+           Case{"one byte", 9, Bytes({0}), 0},
+           Case{"claims alone", 9, Bytes({25, 50, 75}), 0},
+           Case{"one too few", 9, Bytes({25, 50, 75, 255}), 0},
+           Case{"one too many", 9, Bytes({25, 50, 75, 255, 0, 0}), 0},
+           Case{"as many as there are members", 9, Bytes({0, 0, 0, 0, 0, 0, 0}), 0},
+           Case{"one block without a claim", 9, Bytes({25, 255, 75, 255, 0}), 0},
+           Case{"an age beyond the proof", 9, Bytes({25, 251, 75, 255, 0}), 0},
+           Case{"no claim for its own, which single ages make good", 9, Bytes({255, 50, 75, 255, 125}), 2400},
+           Case{"no claim for its own and no age", 9, Bytes({255, 50, 75, 0, 255}), 0},
+       }) {
+    CAPTURE(c.what);
+    members::Standing b({10, 7, proof}, at(0));
+    b.Saw(at(0), 9, lives);
+    b.ToldBlocks(at(1900), c.view, c.told);
+    const auto until = b.AllUntil(at(1900));
+    CHECK(until == (c.until_ms == 0 ? std::nullopt : std::optional(at(c.until_ms))));
+    CHECK((b.At(at(1900)).part == Part::kWhole) == (c.until_ms != 0));
+    // It holds up to then, and no longer.
+    if (c.until_ms != 0) {
+      CHECK(b.At(at(c.until_ms)).part == Part::kWhole);
+      CHECK(b.At(at(c.until_ms + 1)).part != Part::kWhole);
+      CHECK_FALSE(b.AllUntil(at(c.until_ms + 1)));
+    }
+  }
+}
+
+TEST_CASE("standing: claims are merged by the later, undone by a word against them, and go with their view") {
+  const auto at = [](int ms) { return Time(Duration(std::int64_t{ms} * 1000)); };
+  const Duration proof(1000000);
+  const std::vector<std::uint64_t> lives{10, 20, 30, 40, 50, 60, 70};
+  const auto fresh = [&] {
+    members::Standing b({10, 7, proof}, at(0));
+    b.Saw(at(0), 9, lives);
+    b.ToldBlocks(at(1900), 9, Bytes({25, 50, 75, 255, 0}));
+    return b;
+  };
+  auto b = fresh();
+  b.ToldBlocks(at(1950), 9, Bytes({25, 200, 0, 255, 0}));  // 1,850; 1,150; 1,950
+  CHECK(b.AllUntil(at(1950)) == at(2700));
+  b.Answered(30, at(1600), 0);  // before the claim
+  CHECK(b.AllUntil(at(1950)) == at(2700));
+  b.Answered(30, at(1960), 0);
+  CHECK_FALSE(b.AllUntil(at(1960)));
+  CHECK(b.Ages(at(1960), 9)[2] == static_cast<char>(members::Standing::kNoWord));
+  CHECK(b.BlockAges(at(1960), 9, 10)[1] == static_cast<char>(members::Standing::kNoWord));
+  b.ToldBlocks(at(1980), 9, Bytes({255, 2, 255, 255, 255}));
+  CHECK(b.AllUntil(at(1980)));
+  // Single ages tell what a claim proves, for those who know nothing of claims.
+  CHECK(fresh().Ages(at(2000), 9) == Bytes({255, 25, 75, 75, 100, 100, 100}));
+  auto changed = fresh();
+  changed.Saw(at(1950), 8, {10, 20, 30, 40, 50, 60, 71});
+  CHECK(changed.BlockAges(at(1950), 8, 10) == Bytes({255, 255, 255, 255, 255}));
+  auto stopped = fresh();
+  stopped.StoodStill(at(1950));
+  CHECK(stopped.BlockAges(at(1950), 9, 10) == Bytes({255, 255, 255, 255, 255}));
+  CHECK_FALSE(stopped.AllUntil(at(3100)));
+}
+
+// Ten lives with standings alone, who ask each other, hold three views of nine of them, and stand still; a
+// judge who knows what each has truly said.
+struct Ten {
+  static constexpr std::size_t kLives = 10;
+  static constexpr double kProofUs = 1e6, kStepUs = 25000, kSlowest = 0.955;
+
+  Ten(std::uint64_t seed, bool drift) : random(seed), slowest(drift ? kSlowest : 1) {
+    for (const std::size_t without : {9, 0, 4}) {
+      std::vector<std::uint64_t> lives;
+      for (std::size_t i = 0; i < kLives; ++i) {
+        if (i != without) lives.push_back(i + 1);
+      }
+      views.push_back(lives);
+    }
+    for (std::size_t i = 0; i < kLives; ++i) {
+      rate.push_back(drift ? kSlowest + 0.001 * static_cast<double>(random() % 91) : 1);
+      offset.push_back(drift ? static_cast<double>(random() % 1000) * 1e6 : 0);
+      nodes.emplace_back(members::Standing::Options{i + 1, kLives - 1, Duration(1000000)}, Local(i));
+      See(i, i == 9 ? 1 : 0);
+    }
+  }
+  Time Local(std::size_t of) const {
+    return Time(Duration(static_cast<std::int64_t>(offset[of] + rate[of] * us)));
+  }
+  void See(std::size_t at, std::size_t view) {
+    if (std::ranges::binary_search(views[view], at + 1)) nodes[at].Saw(Local(at), view + 1, views[view]);
+  }
+
+  struct Question {
+    std::size_t from = 0, to = 0;
+    Time asked{};
+    std::uint64_t view = 0;
+    double at = 0;
+    bool blocks = false;
+  };
+  struct Answer {
+    Question to;
+    std::uint64_t declares = 0, view = 0;
+    std::string ages, block_ages;
+    double at = 0;
+  };
+
+  // Each asks one; what is under way takes up to twelve steps, most of it less than one.
+  void Step() {
+    const auto late = [this] {
+      return us + static_cast<double>(random() % (random() % 10 == 0 ? 300000 : 10000));
+    };
+    for (std::size_t i = 0; i < kLives; ++i) {
+      const std::size_t to = random() % kLives;
+      if (to == i) continue;
+      questions.push_back({i, to, Local(i), nodes[i].view(), late(), random() % 8 != 0});
+    }
+    for (const double end = us + kStepUs; us < end; us += kStepUs / 5) {
+      for (const Question& q : std::exchange(questions, {})) {
+        if (q.at > us) {
+          questions.push_back(q);
+          continue;
+        }
+        if (static_cast<int>(random() % 100) < loss || mute.contains(q.to)) continue;
+        members::Standing& node = nodes[q.to];
+        Answer answer{q, node.Declares(Local(q.to)), node.view(), {}, {}, late()};
+        (q.blocks ? answer.block_ages : answer.ages) =
+            q.blocks ? node.BlockAges(Local(q.to), q.view, q.from + 1) : node.Ages(Local(q.to), q.view);
+        if (answer.declares != 0) said[{q.to, answer.declares}] = us;
+        answers.push_back(answer);
+      }
+      for (const Answer& a : std::exchange(answers, {})) {
+        if (a.at > us) {
+          answers.push_back(a);
+          continue;
+        }
+        members::Standing& node = nodes[a.to.from];
+        if (deaf.contains(a.to.from)) continue;
+        node.Answered(a.to.to + 1, a.to.asked, a.declares);
+        node.Told(a.to.asked, a.view, a.ages);
+        node.ToldBlocks(a.to.asked, a.view, a.block_ages);
+      }
+      Judge();
+    }
+  }
+
+  void Judge() {
+    for (std::size_t i = 0; i < kLives; ++i) {
+      const auto until = nodes[i].AllUntil(Local(i));
+      const bool whole = nodes[i].At(Local(i)).part == Part::kWhole;
+      if (!until && !whole) continue;
+      ++claimed;
+      for (const std::uint64_t life : nodes[i].lives()) {
+        if (life == i + 1) continue;
+        const auto one = said.find({life - 1, nodes[i].view()});
+        // Its age, if each part of it was counted by the slowest clock.
+        const double true_age = one == said.end() ? 1e18 : us - one->second;
+        unproven += true_age * slowest > kProofUs + 50;
+      }
+    }
+  }
+
+  void Act(std::uint8_t kind, std::uint8_t a, std::uint8_t b) {
+    const std::size_t at = a % kLives;
+    switch (kind % 8) {
+      case 0:
+        See(at, b % 3);
+        break;
+      case 1:  // neighbours at once: a block, or some of it
+        for (std::size_t i = at; i < at + 1 + a / 32 && i < kLives; ++i) See(i, b % 3);
+        break;
+      case 2:
+        nodes[at].StoodStill(Local(at));
+        break;
+      case 3:
+        mute.insert(at);
+        break;
+      case 4:
+        deaf.insert(at);
+        break;
+      case 5:
+        mute.clear();
+        deaf.clear();
+        break;
+      case 6:
+        loss = b % 60;
+        break;
+      default: {  // goes over to another view and comes back at once, with what it heard there
+        const std::uint64_t view = nodes[at].view();
+        See(at, b % 3);
+        for (int i = b / 3 % 4; i >= 0; --i) Step();
+        if (view > 0) See(at, view - 1);
+      }
+    }
+    // Now and then until all are settled again.
+    for (int i = b % 2 == 0 ? 50 : b % 16; i >= 0; --i) Step();
+  }
+
+  std::mt19937_64 random;
+  double slowest;
+  double us = 5e6;
+  int loss = 0;
+  std::vector<std::vector<std::uint64_t>> views;
+  std::vector<double> rate, offset;
+  std::vector<members::Standing> nodes;
+  std::vector<Question> questions;
+  std::vector<Answer> answers;
+  std::set<std::size_t> mute, deaf;
+  std::map<std::pair<std::size_t, std::uint64_t>, double> said;  // last, by whom and of which view
+  int claimed = 0, unproven = 0;
+};
+
+TEST_CASE("standing: nobody says that all stand together when one has not said so within the proof") {
+  long claimed = 0;
+  CHECK(rc::check("drawn scripts",
+                  [&](const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>>& acts,
+                      std::uint64_t seed, bool drift) {
+                    Ten ten(seed, drift);
+                    for (int i = 0; i < 60; ++i) ten.Step();
+                    for (const auto& [kind, a, b] : acts) {
+                      ten.Act(kind, a, b);
+                      RC_ASSERT(ten.unproven == 0);
+                    }
+                    claimed += ten.claimed;
+                  }));
+  MESSAGE("moments at which one said so: ", claimed);
+  CHECK(claimed > 10000);  // or it proves nothing
+}
+
 }  // namespace
 }  // namespace lynxgrade::peers
