Play owners, shares of the load and clients of real poolers in the scale run

Cause: the run could not be asked for the target's mix (5 % writes, 14 % own-reads), for instances that are set aside for the directory, or for a budget of bytes; real poolers had no clients, so bytes could be compared in the quiet script alone; and a size that the cores do not carry was found out by stalls.

Ruled out by a profile of the crowd (128 poolers, 730 databases, directory, 40 statements a second, the machine under load 12): host-side waste as what keeps larger sizes from playing. Standing::At takes 23 % and the tree walk beside it 10 to 12 %, Balancer::Beat 8 %; the host's own functions stay under 4 %. What was found on the host's side is taken out all the same: every 5 ms each instance was asked whether it is counted, which looks at each of the others, and a Poisson draw was made for each.

The ratio of processor time is told only where real poolers have no clients: theirs holds what serving costs.

Tests: Machine has cores, so the machines in tests/scale_test.cpp name them; nothing else of the old cases changed.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -119,10 +119,16 @@
   of_scale->add_option("--seconds", scale.seconds, "measured, once all have met");
   of_scale->add_option("--statements-per-s", scale.statements_per_s, "of each hollow pooler");
   of_scale->add_option("--writes-share", scale.writes_share, "of the statements");
+  of_scale->add_option("--own-reads-share", scale.own_reads_share,
+                       "of the statements; half of those that do not write if left out");
   of_scale->add_option("--roam-share", scale.roam_share, "of the statements, of sessions of other poolers");
   of_scale->add_option("--changes-per-s", scale.changes_per_s, "of the list; the script's own if left out");
   of_scale->add_option("--alone", scale.alone,
                        "hollow poolers with a process of their own, whose processor time is told");
+  of_scale->add_option("--owners", scale.owners,
+                       "hollow poolers set aside for the directory, counted apart, without a load");
+  of_scale->add_option("--bytes-per-s", scale.bytes_per_s,
+                       "budget of the exchange, by the settings; 0: none");
   of_scale->add_option("--hosts", scale.hosts, "processes that host the others; 0: by their number");
   of_scale->add_option("--settle-s", scale.settle_s, "for all to meet, at most");
   of_scale->add_flag("--compare", scale.compare,
--- a/lab/scale_host.cpp
+++ b/lab/scale_host.cpp
@@ -35,8 +35,6 @@
 constexpr Duration kLoadEvery{5000};
 constexpr Duration kMostLoad{100000};  // asked for at once
 constexpr Duration kBetweenStarts{2000};
-constexpr ClassIndex kOwnRead = 1, kHistoryRead = 2, kMatchWrite = 3;  // as ConfigFor orders them
-constexpr double kOwnReads = 0.5;                                      // of all reads
 constexpr Duration kReadTime{1200000}, kWriteTime{5000000};
 
 std::int64_t ThreadUs() {
@@ -93,7 +91,7 @@
 // What instances have done by their own counts.
 struct Done {
   peers::Traffic traffic;
-  std::uint64_t probes = 0, marked = 0, floored = 0, turned = 0;
+  std::uint64_t probes = 0, reads = 0, marked = 0, floored = 0, turned = 0;
 
   void Add(const Instance& instance) {
     static const peers::Traffic kNone;
@@ -106,6 +104,7 @@
     }
     const session::KeeperCounts& keeper = instance.proxy().keeper().counts();
     probes += instance.proxy().counts().probes;
+    reads += keeper.reads;
     marked += keeper.marked;
     floored += keeper.floored;
     turned += keeper.lost + keeper.unknown;
@@ -163,6 +162,9 @@
   std::string Start();
   void Ask(std::size_t session, ClassIndex cls);
   Instance& instance() { return *instance_; }
+  // Whether clients would find its port open. Asked until it is and then no more, as a pooler does: the
+  // answer takes a look at each of the others.
+  bool Open() { return open_ || (open_ = instance_->listed() && instance_->Counted()); }
   int number() const { return number_; }
 
  private:
@@ -198,6 +200,7 @@
 
   Host& host_;
   int number_;
+  bool open_ = false;
   Config config_;
   Setup setup_;
   std::map<MemberId, std::size_t> servers_;  // by member, which database
@@ -303,7 +306,7 @@
   proxy::Ask ask;
   ask.event.group = GroupId(static_cast<std::int64_t>(group) + 1);
   ask.event.cls = cls;
-  ask.event.session = "s" + std::to_string(session);
+  ask.event.session = NameOfSession(session);
   ask.event.time_left = cls == kMatchWrite ? kWriteTime : kReadTime;
   ask.work = std::make_shared<HollowWork>(cls == kMatchWrite);
   ++host_.counts_.statements;
@@ -541,22 +544,17 @@
   const Duration passed = loaded_ ? std::min(now - *loaded_, kMostLoad) : kLoadEvery;
   loaded_ = now;
   const std::int64_t module = counts_.module_us, peers = counts_.peers_us, from = ThreadUs();
-  const auto uniform = [this] { return std::uniform_real_distribution<double>(0, 1)(random_); };
-  const std::size_t homes = sessions_.size() / kSessionsEach;
+  std::vector<Hollow*> open;
   for (auto& [number, hollow] : hollow_) {
-    // Of an instance that has just started nothing is asked, as its port is not open yet.
-    if (!hollow->instance().listed() || !hollow->instance().Counted()) continue;
-    const double mean = spec_.statements_per_s * static_cast<double>(passed.count()) * 1e-6;
-    const int count = std::poisson_distribution<int>(mean)(random_);
-    for (int i = 0; i < count; ++i) {
-      const std::size_t home =
-          uniform() < spec_.roam_share ? random_() % homes : static_cast<std::size_t>(number) % homes;
-      const std::size_t session = home * kSessionsEach + random_() % kSessionsEach;
-      const ClassIndex cls = uniform() < spec_.writes_share ? kMatchWrite
-                             : uniform() < kOwnReads        ? kOwnRead
-                                                            : kHistoryRead;
-      hollow->Ask(session, cls);
-    }
+    if (!spec_.IsOwner(number) && hollow->Open()) open.push_back(hollow.get());
+  }
+  // One draw for all: each statement comes to any of them alike.
+  const double mean =
+      spec_.statements_per_s * static_cast<double>(passed.count()) * 1e-6 * static_cast<double>(open.size());
+  for (int left = mean > 0 ? std::poisson_distribution<int>(mean)(random_) : 0; left > 0; --left) {
+    Hollow& hollow = *open[random_() % open.size()];
+    const Drawn drawn = Draw(spec_, hollow.number(), random_);
+    hollow.Ask(drawn.session, drawn.cls);
   }
   counts_.apart_us += ThreadUs() - from - (counts_.module_us - module) - (counts_.peers_us - peers);
 }
@@ -601,6 +599,7 @@
           {"failed", counts_.failed + counts_.unusable},
           {"asked", counts_.asked},
           {"probes", all.probes},
+          {"session_reads", all.reads},
           {"marked", all.marked},
           {"floored", all.floored},
           {"turned", all.turned},
@@ -619,6 +618,20 @@
 
 }  // namespace
 
+Drawn Draw(const ScaleSpec& spec, int pooler, std::mt19937_64& random) {
+  const auto uniform = [&] { return std::uniform_real_distribution<double>(0, 1)(random); };
+  const auto homes = static_cast<std::size_t>(spec.poolers);
+  const std::size_t home =
+      uniform() < spec.roam_share ? random() % homes : static_cast<std::size_t>(pooler) % homes;
+  const double kind = uniform();
+  return {home * kSessionsEach + random() % kSessionsEach, kind < spec.writes_share ? kMatchWrite
+                                                           : kind < spec.writes_share + spec.own_reads_share
+                                                               ? kOwnRead
+                                                               : kHistoryRead};
+}
+
+std::string NameOfSession(std::size_t session) { return "s" + std::to_string(session); }
+
 std::string ScaleConfigOf(const ScaleSpec& spec, int pooler, int port) {
   const std::string name = "n" + std::to_string(pooler);
   Json config = Json::parse(
@@ -643,6 +656,8 @@
   text += "[peers]\nlisten = " + at(spec.udp[static_cast<std::size_t>(pooler)]) + "\nseeds = [" + seeds +
           "]\nkey_file = \"" + spec.folder + "/key\"\n";
   if (spec.marks != "none") text += "marks = \"" + spec.marks + "\"\n";
+  if (spec.IsOwner(pooler)) text += "owner = true\n";
+  if (spec.bytes_per_s > 0) text += "bytes_per_s = " + std::to_string(spec.bytes_per_s) + "\n";
   if (control > 0) text += "[control]\nlisten = " + at(control) + "\n";
   return text;
 }
--- a/lab/scale_run.cpp
+++ b/lab/scale_run.cpp
@@ -15,13 +15,16 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 #include <stdexcept>
+#include <thread>
 
+#include "client.h"
 #include "control/ask.h"
 #include "data_servers.h"
 #include "group.h"
@@ -44,6 +47,7 @@
 // With a load, until what may have been answered before the start does not matter any more (recall_s).
 constexpr Duration kRecalled{13'000'000};
 constexpr Duration kLongestNews{240'000'000};  // a run stays bounded
+constexpr Duration kClientsEvery{5000};
 constexpr int kMembersAGroup = 3;
 constexpr int kSpareNames = 16;        // for those that replace others
 constexpr int kFirstEndpoint = 20000;  // of databases that nobody connects to
@@ -54,6 +58,7 @@
   Machine machine;
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0) machine.descriptors = limit.rlim_cur;
+  machine.cores = std::thread::hardware_concurrency();
   std::ifstream file("/proc/meminfo");
   std::string name, unit;
   for (std::size_t kb = 0; file >> name >> kb; std::getline(file, unit)) {
@@ -192,7 +197,8 @@
     const auto found = figures_.find(name);
     return found == figures_.end() ? 0 : found->second;
   }
-  explicit ScaleRun(const ScaleOptions& options) : options_(options), random_(options.seed), changes_(loop_) {
+  explicit ScaleRun(const ScaleOptions& options)
+      : options_(options), random_(options.seed), changes_(loop_), asks_(loop_) {
     for (int left = options.databases; left > 0; left -= kMembersAGroup) {
       spec_.groups.push_back(std::min(left, kMembersAGroup));
     }
@@ -202,11 +208,14 @@
     spec_.poolers = options.poolers;
     spec_.real = options.real;
     spec_.alone = options.alone;
+    spec_.owners = options.owners;
     spec_.hosts = HostsFor(options);
     spec_.seed = options.seed;
     spec_.udp = FreePorts(options.poolers + kSpareNames, true);
     spec_.statements_per_s = options.statements_per_s;
     spec_.writes_share = options.writes_share;
+    spec_.own_reads_share = OwnReadsShare(options);
+    spec_.bytes_per_s = options.bytes_per_s;
     spec_.roam_share = options.roam_share;
     ListDatabases();
     spec_.discovery = agent_.port();
@@ -222,7 +231,10 @@
     const bool met = Until([this] { return Met(); }, kSecond * options_.settle_s);
     Tell("met", met);
     Tell("met_after_s", SecondsSince(began_));
-    if (HasLoad(options_.script)) All({{"do", "load"}});
+    if (HasLoad(options_.script)) {
+      All({{"do", "load"}});
+      LoadReal(loop_.Now());
+    }
     const Time met_at = loop_.Now();
     Pass(WarmUp());
     Tell("warmed_s", SecondsSince(met_at));
@@ -382,9 +394,21 @@
     sum.at = SecondsSince(began_);
     for (std::size_t i = 0; i < answers.size(); ++i) {
       const Json& of = answers[i];
+      const double n = of.at("hollow").get<double>();
+      // Those set aside have no load, and another budget: what they do is nobody's mean.
+      const int process = static_cast<int>(i);
+      if (process >= spec_.alone && process < spec_.alone + spec_.owners) {
+        sum.of["owners"] += n;
+        sum.of["owner_cpu_s"] += CpuOf(hosts_[i]->id());
+        sum.of["owner_memory_mb"] += n > 0 ? MemoryMbOf(hosts_[i]->id()) : 0;
+        for (const auto& [kind, counts] : of.at("traffic").items()) {
+          sum.of["owner_bytes"] += counts[1].get<double>() + counts[3].get<double>();
+        }
+        continue;
+      }
       for (const char* name :
            {"hollow", "statements", "writes", "own_reads", "stale", "refused", "failed", "asked", "probes",
-            "marked", "floored", "turned", "module_us", "apart_us", "peers_us"}) {
+            "session_reads", "marked", "floored", "turned", "module_us", "apart_us", "peers_us"}) {
         sum.of[name] += of.at(name).get<double>();
       }
       for (const auto& [kind, counts] : of.at("traffic").items()) {
@@ -392,12 +416,11 @@
       }
       for (const auto& [name, reached] : of.at("reached").get<std::map<int, int>>())
         sum.of["reached"] += reached;
-      const double n = of.at("hollow").get<double>();
       if (n > 1) sum.of["memory_mb"] += of.at("memory_kb_each").get<double>() / 1024 * n;
       if (n > 1) sum.of["memory_of"] += n;
       sum.of["descriptors"] += of.at("descriptors_each").get<double>() * n;
       // Of many in one process a turn of the loop serves several: less than each spends by itself.
-      const bool alone = static_cast<int>(i) < spec_.alone;
+      const bool alone = process < spec_.alone;
       const double us = of.at("module_us").get<double>() + of.at("apart_us").get<double>();
       const double spent = CpuOf(hosts_[i]->id()) - us * 1e-6;
       sum.of[alone ? "alone_cpu_s" : "crowd_cpu_s"] += spent;
@@ -414,6 +437,8 @@
   Sum Real() {
     Sum sum;
     sum.at = SecondsSince(began_);
+    sum.of["asked"] = static_cast<double>(asked_);
+    sum.of["served"] = static_cast<double>(served_);
     for (std::size_t i = 0; i < real_.size(); ++i) {
       const auto said = control::Ask({"127.0.0.1", static_cast<std::uint16_t>(control_[i])}, "peers");
       if (const auto* text = std::get_if<std::string>(&said)) {
@@ -445,6 +470,12 @@
     bytes = std::max(bytes, (to["bytes_out"] + to["bytes_in"] - from["bytes_out"] - from["bytes_in"]) / each);
     double& cpu = figures_["control_cpu_share_peak"];
     cpu = std::max(cpu, ControlCpu(from, to));
+    if (spec_.owners > 0) {
+      double& owner_bytes = figures_["owner_bytes_per_s_peak"];
+      owner_bytes = std::max(owner_bytes, OfOwner("owner_bytes", from, to));
+      double& owner_cpu = figures_["owner_cpu_share_peak"];
+      owner_cpu = std::max(owner_cpu, OfOwner("owner_cpu_s", from, to));
+    }
     if (to["hollow"] > 0) {
       double& least = figures_["in_reach_least"];
       const double reached = to["reached"] / to["hollow"];
@@ -457,6 +488,11 @@
     return (to["cpu_s"] - from["cpu_s"]) / std::max(1.0, to["cpu_of"]) / (to.at - from.at);
   }
 
+  // The mean of those set aside, a second.
+  static double OfOwner(const char* name, const Sum& from, const Sum& to) {
+    return (to[name] - from[name]) / std::max(1.0, to["owners"]) / (to.at - from.at);
+  }
+
   std::uint64_t Calls() const { return agent_.calls() + second_.calls(); }
   std::uint64_t Told() const { return agent_.bytes() + second_.bytes(); }
 
@@ -498,6 +534,9 @@
     Tell("refused", to["refused"] - from["refused"]);
     Tell("failed", to["failed"] - from["failed"]);
     Tell("floored", to["floored"] - from["floored"]);
+    // Of the reads of sessions, those whose target is the conservative one.
+    const double reads = to["session_reads"] - from["session_reads"];
+    Tell("conservative_share", reads > 0 ? (to["floored"] - from["floored"]) / reads : 0);
     Tell("turned_away", to["turned"] - from["turned"]);
     Tell("module_cpu_us_per_statement",
          statements > 0 ? (to["module_us"] - from["module_us"]) / statements : 0);
@@ -507,6 +546,12 @@
     Tell("compressed", ScriptCompressed(options_, static_cast<int>(spec_.groups.size())));
     Tell("compressed_list", ListCompressed(options_));
     Tell("in_reach", to["hollow"] > 0 ? to["reached"] / to["hollow"] : 0);
+    if (spec_.owners > 0) {
+      Tell("owners", spec_.owners);
+      Tell("owner_bytes_per_s", OfOwner("owner_bytes", from, to) + by_discovery);
+      Tell("owner_cpu_share", OfOwner("owner_cpu_s", from, to));
+      Tell("owner_memory_mb", to["owner_memory_mb"] / std::max(1.0, to["owners"]));
+    }
     if (!real_.empty()) {
       const double of = static_cast<double>(real_.size()) * (real.at - real_from.at);
       const double real_bytes =
@@ -517,7 +562,11 @@
       Tell("real_memory_mb", real["memory_mb"] / static_cast<double>(real_.size()));
       Tell("real_descriptors", real["descriptors"] / static_cast<double>(real_.size()));
       Tell("hollow_vs_real_bytes_ratio", (rate("bytes_out") + rate("bytes_in")) / real_bytes);
-      Tell("hollow_vs_real_cpu_ratio", cpu / real_cpu);
+      const double asked = real["asked"] - real_from["asked"];
+      Tell("real_statements_per_s", asked / of);
+      Tell("real_served_share", asked > 0 ? (real["served"] - real_from["served"]) / asked : 0);
+      // A real one's processor time holds what its clients and their statements cost, which is not control's.
+      if (asked == 0) Tell("hollow_vs_real_cpu_ratio", cpu / real_cpu);
     }
     Tell("over_budget",
          (bytes > kBytesBudget) + (cpu > kCpuBudget) + (figures_["control_memory_mb"] > kMemoryBudgetMb));
@@ -541,6 +590,30 @@
 
   // ---- What the scripts do ------------------------------------------------------------------------------
 
+  // The real ones' clients send the same mix as the hollow ones'. What is answered is counted and not judged.
+  void LoadReal(Time since) {
+    std::erase_if(clients_, [](const auto& client) { return client->over(); });
+    const Time now = loop_.Now();
+    const double mean = options_.statements_per_s * static_cast<double>(real_.size()) *
+                        std::chrono::duration<double>(now - since).count();
+    for (int left = mean > 0 ? std::poisson_distribution<int>(mean)(random_) : 0; left > 0; --left) {
+      ++asked_;
+      const auto at = static_cast<std::size_t>(random_() % real_.size());
+      const Drawn drawn = Draw(spec_, static_cast<int>(at), random_);
+      const bool write = drawn.cls == kMatchWrite;
+      const char* cls = write ? "match-write" : drawn.cls == kOwnRead ? "own-read" : "history-read";
+      const int wait_ms = write ? 5000 : 1200;
+      const std::string session = NameOfSession(drawn.session);
+      const auto group = static_cast<std::int64_t>(drawn.session % spec_.groups.size()) + 1;
+      const std::string query =
+          CommentFor(asked_, cls, wait_ms, group) + (write ? WriteOf(session, asked_) : ReadOf(session));
+      clients_.push_back(std::make_unique<Client>(
+          loop_, static_cast<std::uint16_t>(ports_[at]), query, wait_ms,
+          [this](lab::End end, const std::string&) { served_ += end == lab::End::kServed; }));
+    }
+    asks_.After(kClientsEvery, [this, now] { LoadReal(now); });
+  }
+
   // A database's machine is replaced by a new one.
   void Change() {
     changes_.After(Duration(static_cast<std::int64_t>(1e6 / ChangesPerS(options_))), [this] { Change(); });
@@ -661,6 +734,9 @@
                      {"clients", 0},
                      {"statements_per_s", load ? options_.statements_per_s : 0},
                      {"writes_share", load ? options_.writes_share : 0},
+                     {"own_reads_share", load ? OwnReadsShare(options_) : 0},
+                     {"owners", options_.owners},
+                     {"bytes_per_s", options_.bytes_per_s},
                      {"roam_share", load ? options_.roam_share : 0},
                      {"changes_per_s", ChangesPerS(options_)},
                      {"marks", options_.marks},
@@ -684,7 +760,9 @@
   std::vector<int> ports_, control_;
   std::vector<std::unique_ptr<HostProcess>> hosts_;
   std::set<int> alive_;
-  net::Timer changes_;
+  net::Timer changes_, asks_;
+  std::list<std::unique_ptr<Client>> clients_;
+  std::uint64_t asked_ = 0, served_ = 0;  // of real poolers
   Time began_{};
   int replaced_ = 0, renamed_ = 0;
   std::map<std::string, double> figures_;
--- a/lab/scale_script.cpp
+++ b/lab/scale_script.cpp
@@ -13,6 +13,13 @@
 constexpr std::size_t kMostMemoryMb = 12 * 1024;  // half of the machine that this is played on
 // A socket to the others, one to discovery, and one that may be opened anew beside it.
 constexpr int kDescriptorsEach = 3, kDescriptorsRest = 100;
+// Of the machine's cores, the others are for the kernel and for what else runs there.
+constexpr double kCoresPart = 0.8;
+// Cores of a hollow pooler among many in one process, rounded up from what was measured at 16 to 205: by
+// itself, for each of the others, and for each of them that is told marks; and with a load for each database,
+// for each statement a second, and for each mark that is told.
+constexpr double kCoresEach = 0.0015, kCoresAPeer = 2.5e-5, kCoresAPeerWithMarks = 3.2e-4;
+constexpr double kCoresADatabase = 8e-6, kCoresAStatement = 4e-5, kCoresAMark = 2.6e-4;
 constexpr double kDay = 86400;
 // The target: changes of primary a day; a cut of regions; and of 7 failed and 86 restarted machines a day the
 // 730 databases' part among 410 poolers and 7 others.
@@ -23,6 +30,13 @@
   return Duration(static_cast<std::int64_t>(part * options.seconds * 1e6));
 }
 
+std::string Number(double number) {
+  std::string digits = std::to_string(number);
+  digits.erase(digits.find_last_not_of('0') + 1);
+  if (digits.back() == '.') digits.pop_back();
+  return digits;
+}
+
 std::vector<int> Hollow(const ScaleOptions& options, auto&& holds) {
   std::vector<int> who;
   for (int i = options.real; i < options.poolers; ++i) {
@@ -39,9 +53,29 @@
 
 bool HasLoad(const std::string& script) { return script != "quiet"; }
 
+double OwnReadsShare(const ScaleOptions& options) {
+  return options.own_reads_share >= 0 ? options.own_reads_share : (1 - options.writes_share) / 2;
+}
+
+double CoresFor(const ScaleOptions& options) {
+  const bool each = options.marks == "each";
+  double cores = kCoresEach + (kCoresAPeer + (each ? kCoresAPeerWithMarks : 0)) * options.poolers;
+  if (HasLoad(options.script)) {
+    const double marks = each ? options.writes_share * options.poolers : 0;
+    cores += kCoresADatabase * options.databases +
+             options.statements_per_s * (kCoresAStatement + kCoresAMark * marks);
+  }
+  return cores * options.poolers;
+}
+
+bool IsOwner(const ScaleOptions& options, int pooler) {
+  const int first = options.real + options.alone;
+  return pooler >= first && pooler < first + options.owners;
+}
+
 int HostsFor(const ScaleOptions& options) {
   if (options.hosts > 0) return options.hosts;
-  return std::clamp((options.poolers - options.real - options.alone + 19) / 20, 1, 7);
+  return std::clamp((options.poolers - options.real - options.alone - options.owners + 19) / 20, 1, 7);
 }
 
 Place PlaceOf(int pooler, int real) {
@@ -52,14 +86,8 @@
 std::string WhyNotPlayed(const ScaleOptions& options, const Machine& machine) {
   const auto range = [](const char* name, double value, double least, double most) {
     if (value >= least && value <= most) return std::string();
-    const auto text = [](double number) {
-      std::string digits = std::to_string(number);
-      digits.erase(digits.find_last_not_of('0') + 1);
-      if (digits.back() == '.') digits.pop_back();
-      return digits;
-    };
-    return "--" + std::string(name) + " " + text(value) + " cannot be played: it has to lie between " +
-           text(least) + " and " + text(most);
+    return "--" + std::string(name) + " " + Number(value) + " cannot be played: it has to lie between " +
+           Number(least) + " and " + Number(most);
   };
   const auto scripts = ScaleScripts();
   if (std::ranges::find(scripts, options.script) == scripts.end()) {
@@ -81,6 +109,9 @@
         range("settle-s", options.settle_s, 1, 600),
         range("statements-per-s", options.statements_per_s, 0, 10000),
         range("writes-share", options.writes_share, 0, 1), range("roam-share", options.roam_share, 0, 1),
+        range("own-reads-share", options.own_reads_share, -1, 1),
+        range("alone", options.alone, 0, kMostHosts), range("owners", options.owners, 0, kMostHosts),
+        range("bytes-per-s", options.bytes_per_s, 0, 1e9),
         range("changes-per-s", options.changes_per_s, -1, 100)}) {
     if (!wrong.empty()) return wrong;
   }
@@ -92,12 +123,19 @@
     return "real poolers are asked through their peers: --scope instance is played with --real 0 alone";
   }
   const int hollow = options.poolers - options.real;
-  if (HostsFor(options) + options.alone > hollow) {
+  const int apart = options.alone + options.owners;
+  if (HostsFor(options) + apart > hollow) {
     return "there are more processes for hollow poolers than hollow poolers: " +
-           std::to_string(HostsFor(options) + options.alone) + " and " + std::to_string(hollow);
+           std::to_string(HostsFor(options) + apart) + " and " + std::to_string(hollow);
+  }
+  if (options.writes_share + OwnReadsShare(options) > 1) {
+    return "writes and own-reads are more than all statements: --writes-share and --own-reads-share";
+  }
+  if ((options.owners > 0 || options.bytes_per_s > 0) && options.marks.find("directory") != 0) {
+    return "owners and a budget of bytes are the directory's: --marks directory has to be given with them";
   }
   // The coordinator holds a listener for each database of real poolers and discovery's watchers.
-  const auto each = static_cast<std::size_t>((hollow - options.alone) / HostsFor(options) + 1);
+  const auto each = static_cast<std::size_t>((hollow - apart) / HostsFor(options) + 1);
   const std::size_t own =
       static_cast<std::size_t>(options.poolers * 2 + kDescriptorsRest) +
       (options.real > 0 ? static_cast<std::size_t>(options.databases * (1 + 2 * options.real)) : 0);
@@ -113,6 +151,10 @@
     return "the run would need " + std::to_string(memory) + " MB of memory and may take " +
            std::to_string(free);
   }
+  if (const double cores = CoresFor(options); cores > machine.cores * kCoresPart) {
+    return "the run would keep " + Number(std::ceil(cores * 10) / 10) + " cores busy and may take " +
+           Number(machine.cores * kCoresPart) + " of " + Number(machine.cores);
+  }
   return {};
 }
 
@@ -127,8 +169,9 @@
       steps.push_back({Duration(at * 1'000'000), What::kPrimary, {group++ % groups}});
     }
   } else if (name == "replaced") {
-    // A few machines, one after the other, never one that was replaced before.
-    const auto all = Hollow(options, [](const Place&) { return true; });
+    // A few machines, one after the other, never one that was replaced before, nor one set aside.
+    auto all = Hollow(options, [](const Place&) { return true; });
+    std::erase_if(all, [&](int pooler) { return IsOwner(options, pooler); });
     const std::size_t count = std::clamp<std::size_t>(all.size() / 10, 1, 8);
     for (std::size_t i = 0; i < count; ++i) {
       steps.push_back({Part(options, 0.1 + 0.5 * static_cast<double>(i) / static_cast<double>(count)),
--- a/lab/scale_script.h
+++ b/lab/scale_script.h
@@ -24,8 +24,11 @@
   int seconds = 20;              // measured, after all have met
   double statements_per_s = 50;  // of a hollow pooler, where the script has a load
   double writes_share = 0.05;
-  double roam_share = 0.1;    // of statements, of a session whose home is another pooler
-  double changes_per_s = -1;  // of the list; below zero: the script's own
+  double own_reads_share = -1;  // of the statements; below zero: half of those that do not write
+  double roam_share = 0.1;      // of statements, of a session whose home is another pooler
+  double changes_per_s = -1;    // of the list; below zero: the script's own
+  int owners = 0;       // of the hollow ones: set aside for the directory, without a load, counted apart
+  int bytes_per_s = 0;  // budget of the exchange, by the settings; 0: none
   int alone = 4;      // of the hollow ones, each in a process of its own: their processor time is what counts
   int hosts = 0;      // processes that host the others; 0: by their number
   int settle_s = 90;  // to meet, at most
@@ -37,6 +40,7 @@
 struct Machine {
   std::size_t descriptors = 0;  // a process may hold
   std::size_t memory_mb = 0;    // that is free
+  double cores = 0;             // that this process may run on
 };
 
 // Empty, or one sentence that says why the run cannot be played.
@@ -44,6 +48,11 @@
 
 std::vector<std::string> ScaleScripts();
 bool HasLoad(const std::string& script);
+double OwnReadsShare(const ScaleOptions& options);
+// Cores that all processes keep busy, by what was measured.
+double CoresFor(const ScaleOptions& options);
+// Those set aside stand after the ones with a process of their own, so that each is in another zone.
+bool IsOwner(const ScaleOptions& options, int pooler);
 int HostsFor(const ScaleOptions& options);
 // The target's two regions with seven zones. All real poolers stand in the first: nothing cuts between them.
 struct Place {
--- a/lab/sessions_run.cpp
+++ b/lab/sessions_run.cpp
@@ -15,9 +15,9 @@
 #include <stdexcept>
 #include <vector>
 
+#include "client.h"
 #include "data_servers.h"
 #include "net/loop.h"
-#include "pg/message.h"
 #include "pooler_process.h"
 #include "relay.h"
 
@@ -25,77 +25,11 @@
 namespace {
 
 constexpr Duration kMs{1000};
-constexpr std::size_t kRing = 1 << 18;
 constexpr int kReadBudgetMs = 1200;
 constexpr int kWriteBudgetMs = 5000;
-constexpr Duration kSlack{1000000};  // past a client's patience, before it counts as not answered: stalls of
-                                     // the machine that plays all parts at once are nobody's fault
-constexpr int kRounds = 3;           // a session writes and rereads so often
+constexpr int kRounds = 3;  // a session writes and rereads so often
 constexpr int kReadsARound = 2;
 
-enum class End { kServed, kRefused, kFailed, kBroken, kSilent };
-
-// One request on a connection of its own.
-class Client final : public net::Connection::Owner {
- public:
-  using Done = std::function<void(End, const std::string& value)>;
-
-  Client(net::Loop& loop, std::uint16_t port, const std::string& query, int budget_ms, Done done)
-      : done_(std::move(done)), patience_(loop) {
-    bool full = false;
-    connection_ = net::Connection::Open(loop, {"127.0.0.1", port}, *this, kRing, kRing, &full);
-    patience_.After(kMs * budget_ms + kSlack, [this] { Finish(End::kSilent); });
-    if (connection_ == nullptr) {
-      patience_.After(Duration{0}, [this] { Finish(End::kBroken); });
-      return;
-    }
-    std::string out;
-    pg::AppendStartup(out, "worker", "catalog");
-    pg::AppendQuery(out, query);
-    connection_->Write(out);
-  }
-  bool over() const { return over_; }
-
- private:
-  void OnReadable() override {
-    while (!over_) {
-      const pg::Frame frame = pg::ReadFrame(connection_->in().All());
-      if (frame.framing == pg::Framing::kPartial) return connection_->ResumeReading();
-      if (frame.framing != pg::Framing::kWhole) return Finish(End::kBroken);
-      if (frame.type == 'D') {
-        const auto row = pg::ReadOneValue(frame.body);
-        if (row && row->value) value_ = std::string(*row->value);
-      }
-      if (frame.type == 'E') {
-        const auto error = pg::ReadError(frame.body);
-        const bool refused = error && (error->code == "53300" || error->code == "57P03");
-        end_ = refused ? End::kRefused : End::kFailed;
-      }
-      const char type = frame.type;
-      connection_->in().Consume(frame.size);
-      if (type == 'C' || type == 'I') return Finish(End::kServed);
-      if (type == 'E') return Finish(end_);
-    }
-  }
-  void OnPeerDone() override { Finish(End::kBroken); }
-  void OnBroken() override { Finish(End::kBroken); }
-
-  void Finish(End end) {
-    if (over_) return;
-    over_ = true;
-    patience_.Clear();
-    if (connection_ != nullptr) connection_->Close();
-    done_(end, value_);
-  }
-
-  Done done_;
-  net::Timer patience_;
-  std::shared_ptr<net::Connection> connection_;
-  std::string value_;
-  End end_ = End::kFailed;
-  bool over_ = false;
-};
-
 struct Tally {
   std::uint64_t sessions = 0, writes = 0, acked = 0, reads = 0, served = 0, stale = 0, refused = 0,
                 failed = 0, broken = 0, unanswered = 0, crashed = 0, lost_commits = 0, complaints = 0;
@@ -260,10 +194,8 @@
   std::uint16_t SomePooler() { return ports_[Uniform() < 0.5 ? 0 : 1]; }
 
   std::string Head(const Session& session, const char* cls, int budget_ms) {
-    ++last_id_;
-    return "/* id=" + std::to_string(last_id_) + ",c=" + cls + ",t=cho-moi,d=" + std::to_string(budget_ms) +
-           ",k=" + std::to_string(last_id_) +
-           ",cluster=" + std::to_string(static_cast<std::int64_t>(groups_[session.group]->number())) + " */ ";
+    return CommentFor(++last_id_, cls, budget_ms,
+                      static_cast<std::int64_t>(groups_[session.group]->number()));
   }
 
   void Later(Duration pause, std::function<void()> call) { loop_.At(loop_.Now() + pause, std::move(call)); }
@@ -276,9 +208,9 @@
     }
     const std::int64_t version = ++session->asked;
     ++tally_.writes;
-    const std::string query = Head(*session, "match-write", kWriteBudgetMs) +
-                              "INSERT INTO objects (oid, body) VALUES ('p" + std::to_string(session->number) +
-                              "', '" + std::to_string(version) + "') RETURNING body";
+    const std::string query =
+        Head(*session, "match-write", kWriteBudgetMs) +
+        WriteOf("p" + std::to_string(session->number), static_cast<std::uint64_t>(version));
     Ask(SomePooler(), query, kWriteBudgetMs, [this, session, version](End end, const std::string&) {
       if (end == End::kServed) {
         session->acked = version;
@@ -299,9 +231,8 @@
       const std::int64_t must = session->acked;
       const Time from = loop_.Now();
       ++tally_.reads;
-      const std::string query = Head(*session, "own-read", kReadBudgetMs) +
-                                "SELECT body FROM objects WHERE oid = 'p" + std::to_string(session->number) +
-                                "'";
+      const std::string query =
+          Head(*session, "own-read", kReadBudgetMs) + ReadOf("p" + std::to_string(session->number));
       Ask(SomePooler(), query, kReadBudgetMs, [this, session, must, from](End end, const std::string& value) {
         if (end == End::kServed) {
           ++tally_.served;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <random>
 #include <set>
 
 #include "instance.h"
@@ -17,7 +18,7 @@
 namespace lynxgrade::lab {
 namespace {
 
-const Machine kLarge{20000, 20000};
+const Machine kLarge{20000, 20000, 10000};
 
 Time At(std::int64_t ms) { return Time(Duration(1'000'000'000'000 + ms * 1000)); }
 
@@ -45,6 +46,18 @@
         "of the poolers at least one has to be hollow");
   CHECK(refused([](auto& o) { o.hosts = 39, o.poolers = 40; }).find("there are more processes") == 0);
   CHECK(refused([](auto& o) { o.marks = "none"; }).find("--real 0") != std::string::npos);
+  CHECK(refused([](auto& o) { o.own_reads_share = 1.5; }).find("--own-reads-share 1.5") == 0);
+  CHECK(refused([](auto& o) { o.own_reads_share = 0.96; }).find("more than all statements") !=
+        std::string::npos);
+  CHECK(refused([](auto& o) { o.owners = -1; }).find("--owners -1") == 0);
+  CHECK(refused([](auto& o) { o.alone = -1; }).find("--alone -1") == 0);
+  CHECK(refused([](auto& o) { o.bytes_per_s = -1; }).find("--bytes-per-s -1") == 0);
+  CHECK(refused([](auto& o) { o.owners = 7; }).find("--marks directory") != std::string::npos);
+  CHECK(refused([](auto& o) { o.bytes_per_s = 12000; }).find("--marks directory") != std::string::npos);
+  CHECK(refused([](auto& o) {
+          o.marks = "directory";
+          o.owners = 34;
+        }).find("there are more processes") == 0);
 }
 
 TEST_CASE("a machine that is too small for the size is named before anything is started") {
@@ -52,10 +65,110 @@
   options.poolers = 820;
   options.real = 0;
   CHECK(WhyNotPlayed(options, kLarge) == "");
-  CHECK(WhyNotPlayed(options, {20000, 500}).find("MB of memory and may take 500") != std::string::npos);
-  CHECK(WhyNotPlayed(options, {256, 20000}).find("descriptors and may hold 256") != std::string::npos);
+  CHECK(WhyNotPlayed(options, {20000, 500, 10000}).find("MB of memory and may take 500") !=
+        std::string::npos);
+  CHECK(WhyNotPlayed(options, {256, 20000, 10000}).find("descriptors and may hold 256") != std::string::npos);
   options.poolers = 40;
-  CHECK(WhyNotPlayed(options, {1024, 1000}) == "");
+  CHECK(WhyNotPlayed(options, {1024, 1000, 10000}) == "");
+}
+
+TEST_CASE("a machine with too few cores for the size is named before anything is started") {
+  ScaleOptions options;
+  options.real = 0;
+  options.marks = "directory";
+  const Machine eight{20000, 20000, 8};
+  options.poolers = 205;
+  CHECK(WhyNotPlayed(options, eight) == "");
+  // Each to each grows with the square of the size.
+  options.marks = "each";
+  options.poolers = 100;
+  CHECK(WhyNotPlayed(options, eight) == "");
+  options.poolers = 820;
+  const std::string wrong = WhyNotPlayed(options, eight);
+  CHECK(wrong.find("the run would keep ") == 0);
+  CHECK(wrong.find(" cores busy and may take 6.4 of 8") != std::string::npos);
+  // Each part of the work asks for its own.
+  const auto cores = [&](auto change) {
+    ScaleOptions other;
+    other.marks = "directory";
+    change(other);
+    return CoresFor(other);
+  };
+  const double least = cores([](auto&) {});
+  CHECK(least > 0);
+  CHECK(cores([](auto& o) { o.poolers = 80; }) > 2 * least);
+  CHECK(cores([](auto& o) { o.marks = "each"; }) > least);
+  const double load = cores([](auto& o) { o.script = "load"; });
+  CHECK(load > least);
+  CHECK(cores([](auto& o) { o.script = "load", o.databases = 730; }) > load);
+  CHECK(cores([](auto& o) { o.script = "load", o.statements_per_s = 200; }) > load);
+  CHECK(cores([](auto& o) { o.statements_per_s = 200; }) == least);  // a quiet script has none
+}
+
+TEST_CASE("those set aside come after the ones with a process of their own, each in another zone") {
+  ScaleOptions options;
+  options.poolers = 64;
+  options.real = 2;
+  options.alone = 4;
+  options.owners = 7;
+  options.marks = "directory";
+  CHECK(WhyNotPlayed(options, kLarge) == "");
+  std::set<int> zones;
+  for (int i = 0; i < options.poolers; ++i) {
+    CHECK(IsOwner(options, i) == (i >= 6 && i < 13));
+    if (IsOwner(options, i)) zones.insert(PlaceOf(i, options.real).zone);
+  }
+  CHECK(zones.size() == 7);
+  ScaleSpec spec;
+  spec.poolers = 64;
+  spec.real = 2;
+  spec.alone = 4;
+  spec.owners = 7;
+  spec.hosts = 3;
+  std::set<int> apart;
+  for (int i = 2; i < 64; ++i) {
+    CHECK(spec.IsOwner(i) == IsOwner(options, i));
+    if (i < 13) apart.insert(spec.HostOf(i));
+    if (i >= 13) CHECK(spec.HostOf(i) >= 11);
+    CHECK(spec.HostOf(i) < spec.processes());
+  }
+  CHECK(apart.size() == 11);
+  CHECK(!spec.IsOwner(64));  // nor one that replaces another
+  // Those are never replaced; a rack and a zone take one with them, and a cut parts them.
+  options.script = "replaced";
+  for (const Step& step : StepsOf(options, 4)) CHECK(!IsOwner(options, step.who.front()));
+  const auto owners = [&](const char* script) {
+    options.script = script;
+    return std::ranges::count_if(StepsOf(options, 4).front().who,
+                                 [&](int pooler) { return IsOwner(options, pooler); });
+  };
+  CHECK(owners("rack") == 1);
+  CHECK(owners("zone") == 1);
+  CHECK(owners("regions") == 3);
+}
+
+TEST_CASE("the load is drawn by its shares") {
+  ScaleOptions options;
+  CHECK(OwnReadsShare(options) == doctest::Approx(0.475));  // half of those that do not write
+  options.own_reads_share = 0.14;
+  CHECK(OwnReadsShare(options) == 0.14);
+  ScaleSpec spec;
+  spec.poolers = 10;
+  spec.writes_share = 0.05;
+  spec.own_reads_share = 0.14;
+  spec.roam_share = 0.5;
+  std::mt19937_64 random(1);
+  int writes = 0, own_reads = 0, at_home = 0;
+  for (int i = 0; i < 100000; ++i) {
+    const Drawn drawn = Draw(spec, 3, random);
+    writes += drawn.cls == kMatchWrite;
+    own_reads += drawn.cls == kOwnRead;
+    CHECK(drawn.session < static_cast<std::size_t>(10 * kSessionsEach));
+    at_home += drawn.session / kSessionsEach == 3;
+  }
+  CHECK(writes == doctest::Approx(5000).epsilon(0.05));
+  CHECK(own_reads == doctest::Approx(14000).epsilon(0.05));
+  CHECK(at_home == doctest::Approx(55000).epsilon(0.05));  // and a tenth of those that roam
 }
 
 TEST_CASE("every script's steps lie within the run, and touch hollow poolers alone") {
