--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -276,6 +276,16 @@
   REQUIRE(std::holds_alternative<Setup>(setup));
   CHECK(std::get<Setup>(setup).peers.seeds.size() == 2);
   CHECK(std::get<Setup>(setup).peers.listen->port == 4002);
+  CHECK(!std::get<Setup>(setup).peers.owner);
+  spec.marks = "directory";
+  spec.owners = 1;
+  spec.bytes_per_s = 12000;
+  for (const int pooler : {0, 1}) {
+    const auto read = ReadSetup(ScaleSettingsOf(spec, pooler, {0, 1, 2}, 0));
+    REQUIRE(std::holds_alternative<Setup>(read));
+    CHECK(std::get<Setup>(read).peers.owner == (pooler == 0));
+    CHECK(std::get<Setup>(read).peers.bytes_per_s == 12000);
+  }
 }
 
 // ---- The seam -------------------------------------------------------------------------------------------
