Let the scale run measure before the news of the meeting has been told, and say so

Cause: where no marks go to all, the news that all have met is told for 82 s at 205 poolers and for 178 s at 410; at 820 the wait was cut at 240 s of the 400 s that it takes, without a word.

Ruled out: ending the wait by what is seen. Membership bytes a second stay the same from the meeting to the end of the news (205 poolers, sampled every 2 s), so there is nothing to see before it is over; and the directory's own packets carry no news.

The wait is decided in lab/scale_script and no more cut short.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -131,6 +131,8 @@
                        "budget of the exchange, by the settings; 0: none");
   of_scale->add_option("--hosts", scale.hosts, "processes that host the others; 0: by their number");
   of_scale->add_option("--settle-s", scale.settle_s, "for all to meet, at most");
+  of_scale->add_option("--warm-s", scale.warm_s,
+                       "between meeting and measuring; until its news has been told if left out");
   of_scale->add_flag("--compare", scale.compare,
                      "plays it with marks from each to each as well, for over_budget_off");
   of_scale->add_option("--json", scale.json, "also write the record of the run to this file");
--- a/lab/scale_run.cpp
+++ b/lab/scale_run.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -43,10 +42,6 @@
 constexpr Duration kAnswerWithin{20'000'000};  // a host's; for one that never will, not a measure of speed
 constexpr Duration kAhead{300'000};  // orders that all hosts are to follow at one time come so long before
 constexpr Duration kFailover{1'500'000}, kReturnAfter{4'000'000};
-constexpr Duration kNewsOfMeeting{3'000'000};  // is still under way when all have met
-// With a load, until what may have been answered before the start does not matter any more (recall_s).
-constexpr Duration kRecalled{13'000'000};
-constexpr Duration kLongestNews{240'000'000};  // a run stays bounded
 constexpr Duration kClientsEvery{5000};
 constexpr int kMembersAGroup = 3;
 constexpr int kSpareNames = 16;        // for those that replace others
@@ -236,8 +231,11 @@
       LoadReal(loop_.Now());
     }
     const Time met_at = loop_.Now();
-    Pass(WarmUp());
+    const Duration news = NewsOfMeeting(options_);
+    Pass(options_.warm_s < 0 ? news : kSecond * options_.warm_s);
     Tell("warmed_s", SecondsSince(met_at));
+    // Then what is measured holds the telling of it too: more than such a fleet costs.
+    Tell("news_under_way", loop_.Now() - met_at < news);
     if (ChangesPerS(options_) > 0) Change();
     for (const Step& step : steps) {
       loop_.At(loop_.Now() + step.at, [this, step] { Do(step); });
@@ -264,15 +262,6 @@
   }
 
  private:
-  // Where no marks go to all, the news of the meeting has few packets to go with: each member is told some
-  // 3 log2(n) times by each, six in a packet, ten packets a second.
-  Duration WarmUp() const {
-    Duration time = HasLoad(options_.script) ? kRecalled : kNewsOfMeeting;
-    if (options_.marks == "each") return time;
-    const double n = options_.poolers;
-    return std::min(kLongestNews,
-                    time + Duration(static_cast<std::int64_t>(1e6 * n * 3 * std::log2(n + 2) / 60)));
-  }
   double SecondsSince(Time from) const { return static_cast<double>((loop_.Now() - from).count()) * 1e-6; }
   void Tell(const std::string& name, double value) { figures_[name] = value; }
 
--- a/lab/scale_script.cpp
+++ b/lab/scale_script.cpp
@@ -20,6 +20,10 @@
 // for each statement a second, and for each mark that is told.
 constexpr double kCoresEach = 0.0015, kCoresAPeer = 2.5e-5, kCoresAPeerWithMarks = 3.2e-4;
 constexpr double kCoresADatabase = 8e-6, kCoresAStatement = 4e-5, kCoresAMark = 2.6e-4;
+constexpr Duration kMeeting{3'000'000};  // its news is still under way when all have met
+// With a load, until what may have been answered before the start does not matter any more (recall_s).
+constexpr Duration kRecalled{13'000'000};
+constexpr Duration kLongestNews{420'000'000};  // that of 820; a run stays bounded
 constexpr double kDay = 86400;
 // The target: changes of primary a day; a cut of regions; and of 7 failed and 86 restarted machines a day the
 // 730 databases' part among 410 poolers and 7 others.
@@ -106,7 +110,7 @@
        {range("poolers", options.poolers, 3, kMostPoolers),
         range("databases", options.databases, 1, kMostDatabases), range("real", options.real, 0, kMostReal),
         range("seconds", options.seconds, 1, 600), range("hosts", options.hosts, 0, kMostHosts),
-        range("settle-s", options.settle_s, 1, 600),
+        range("settle-s", options.settle_s, 1, 600), range("warm-s", options.warm_s, -1, 600),
         range("statements-per-s", options.statements_per_s, 0, 10000),
         range("writes-share", options.writes_share, 0, 1), range("roam-share", options.roam_share, 0, 1),
         range("own-reads-share", options.own_reads_share, -1, 1),
@@ -194,6 +198,16 @@
   return steps;
 }
 
+// Where no marks go to all, the news has few packets to go with: each member is told some 3 log2(n) times by
+// each, six in a packet, ten packets a second.
+Duration NewsOfMeeting(const ScaleOptions& options) {
+  const Duration time = HasLoad(options.script) ? kRecalled : kMeeting;
+  if (options.marks == "each") return time;
+  const double n = options.poolers;
+  return std::min(kLongestNews,
+                  time + Duration(static_cast<std::int64_t>(1e6 * n * 3 * std::log2(n + 2) / 60)));
+}
+
 double ChangesPerS(const ScaleOptions& options) {
   if (options.changes_per_s >= 0) return options.changes_per_s;
   return HasLoad(options.script) ? 0.2 : 0;
--- a/lab/scale_script.h
+++ b/lab/scale_script.h
@@ -32,6 +32,7 @@
   int alone = 4;      // of the hollow ones, each in a process of its own: their processor time is what counts
   int hosts = 0;      // processes that host the others; 0: by their number
   int settle_s = 90;  // to meet, at most
+  int warm_s = -1;    // between meeting and measuring; below zero: as long as the news of it takes
   bool compare = false;  // also with marks from each to each, and how many rows are over their budget then
   std::string json;
   std::string commit;  // for the record alone
@@ -69,6 +70,9 @@
 // In their order, all within the seconds of the run.
 std::vector<Step> StepsOf(const ScaleOptions& options, int groups);
 double ChangesPerS(const ScaleOptions& options);
+// From the meeting on until its news has been told, and until what may have been answered before the start
+// does not matter any more.
+Duration NewsOfMeeting(const ScaleOptions& options);
 // How much faster than at the target the script's events, and the list's changes, come; 1: as there.
 double ScriptCompressed(const ScaleOptions& options, int groups);
 double ListCompressed(const ScaleOptions& options);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -49,6 +49,7 @@
   CHECK(refused([](auto& o) { o.own_reads_share = 1.5; }).find("--own-reads-share 1.5") == 0);
   CHECK(refused([](auto& o) { o.own_reads_share = 0.96; }).find("more than all statements") !=
         std::string::npos);
+  CHECK(refused([](auto& o) { o.warm_s = 601; }).find("--warm-s 601") == 0);
   CHECK(refused([](auto& o) { o.owners = -1; }).find("--owners -1") == 0);
   CHECK(refused([](auto& o) { o.alone = -1; }).find("--alone -1") == 0);
   CHECK(refused([](auto& o) { o.bytes_per_s = -1; }).find("--bytes-per-s -1") == 0);
@@ -194,6 +195,63 @@
   }
 }
 
+TEST_CASE("each script does what it is called") {
+  using What = Step::What;
+  ScaleOptions options;
+  options.poolers = 205;
+  options.real = 0;
+  options.owners = 7;
+  options.marks = "directory";
+  const auto steps = [&](const char* script) {
+    options.script = script;
+    return StepsOf(options, 244);
+  };
+  for (const char* script : {"rack", "zone"}) {
+    const auto gone = steps(script);
+    REQUIRE(gone.size() == 2);
+    CHECK(gone[0].what == What::kKill);
+    CHECK(gone[1].what == What::kRestart);
+    CHECK(gone[1].at - gone[0].at >= Duration(5'000'000));  // long enough to be held dead
+    CHECK(gone[0].who == gone[1].who);
+    std::set<int> zones;
+    for (const int who : gone[0].who) zones.insert(PlaceOf(who, 0).zone);
+    CHECK(zones.size() == 1);
+  }
+  const auto cut = steps("regions");
+  REQUIRE(cut.size() == 2);
+  CHECK(cut[0].what == What::kCut);
+  CHECK(cut[1].what == What::kHeal);
+  CHECK(cut[0].who.size() == 87);
+  for (const int who : cut[0].who) CHECK(PlaceOf(who, 0).region == 1);
+  for (const Step& step : steps("replaced")) {
+    CHECK(step.what == What::kReplace);
+    CHECK(step.who.size() == 1);
+  }
+  REQUIRE(steps("configuration").size() == 1);
+  CHECK(steps("configuration")[0].what == What::kConfiguration);
+  std::set<int> groups;
+  for (const Step& step : steps("primaries")) {
+    CHECK(step.what == What::kPrimary);
+    groups.insert(step.who.begin(), step.who.end());
+  }
+  CHECK(groups.size() == steps("primaries").size());
+  CHECK(groups.size() == 4);
+}
+
+TEST_CASE("the news of the meeting takes longer where no marks carry it, and for more poolers") {
+  ScaleOptions options;
+  const auto seconds = [&] { return static_cast<double>(NewsOfMeeting(options).count()) * 1e-6; };
+  CHECK(seconds() == 3);
+  options.script = "load";
+  CHECK(seconds() == 13);
+  options.marks = "directory";
+  options.poolers = 205;
+  CHECK(seconds() == doctest::Approx(13 + 205 * 3 * 7.693 / 60).epsilon(0.01));
+  options.poolers = 820;
+  options.script = "quiet";
+  CHECK(seconds() == doctest::Approx(3 + 820 * 3 * 9.683 / 60).epsilon(0.01));  // not cut short
+}
+
 TEST_CASE("whom a zone, a rack and a region take") {
   ScaleOptions options;
   options.poolers = 140;
