Let an instance be taken down while it holds an answer back

Cause: a write whose answer waits until its session is held has a deadline on the loop that pointed at the proxy itself. In the program the loop ends with the proxy; a host of many takes an instance down while its loop runs on.

Ruled out: the hollow databases' own waits (they look whether the pooler is there) and the exchange's callbacks, which go with it.

Change: the deadline finds the proxy as the module's timers do.

Test: an instance taken down with an answer held back fails nobody.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -193,7 +193,9 @@
       if (wrote_ && waits_.safe && waits_.safe(wrote_->first, wrote_->second, [this, id] { Release(id); })) {
         ++open_;  // until it is given
         ready_[id] = {client, std::move(*end.answer)};
-        loop_.At(std::max(until, loop_.Now()), [this, id] { FailReady(id); });
+        loop_.At(std::max(until, loop_.Now()), [self = std::weak_ptr(self_), id] {
+          if (const auto proxy = self.lock()) (*proxy)->FailReady(id);
+        });
       } else {
         ++counts_.served;
         client->Served(*end.answer);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -394,10 +394,11 @@
     host.forget = [](MemberId) {};
     instance = std::make_unique<Instance>(loop, config, setup, backends, host);
   }
-  void Ask(Duration time) {
+  void Ask(Duration time, ClassIndex cls = kHistoryRead) {
     proxy::Ask ask;
     ask.event.group = GroupId(1);
-    ask.event.cls = 2;
+    ask.event.cls = cls;
+    ask.event.session = "s1";
     ask.event.time_left = time;
     ask.work = std::make_shared<Work>();
     instance->proxy().Take(std::move(ask), client, id);
@@ -448,6 +449,29 @@
   CHECK(seam.loop.timers() == 0);
 }
 
+TEST_CASE("an instance that is taken down while it holds an answer back fails nobody afterwards") {
+  Seam seam;
+  REQUIRE(seam.instance->Start() == "");
+  proxy::Proxy::Waits waits;
+  waits.safe = [](GroupId, session::Key, std::function<void()>) { return true; };  // it never is
+  seam.instance->proxy().SetWaits(std::move(waits));
+  seam.Ask(Duration(400000), kMatchWrite);
+  REQUIRE(seam.backends.sent.size() == 1);
+  proxy::AttemptEnd end;
+  end.request = seam.backends.sent[0].request;
+  end.attempt = seam.backends.sent[0].attempt;
+  end.member = seam.backends.sent[0].member;
+  end.outcome = Outcome::kOk;
+  end.note.primary = true;
+  end.note.position = seam.loop.Now();
+  end.answer.emplace();
+  static_cast<proxy::BackendEvents&>(seam.instance->proxy()).OnAttemptEnd(end);
+  CHECK(seam.client.served == 0);
+  seam.instance.reset();
+  seam.Pass(Duration(500000));  // past the end of the request
+  CHECK(seam.client.served + seam.client.refused + seam.client.failed == 0);
+}
+
 // Two instances on one loop that speak over real sockets.
 struct Pair {
   explicit Pair(bool members_only) {
