--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <random>
 #include <set>
 
 #include "instance.h"
@@ -17,7 +18,7 @@
 namespace lynxgrade::lab {
 namespace {
 
-const Machine kLarge{20000, 20000};
+const Machine kLarge{20000, 20000, 10000};
 
 Time At(std::int64_t ms) { return Time(Duration(1'000'000'000'000 + ms * 1000)); }
 
@@ -45,6 +46,19 @@
         "of the poolers at least one has to be hollow");
   CHECK(refused([](auto& o) { o.hosts = 39, o.poolers = 40; }).find("there are more processes") == 0);
   CHECK(refused([](auto& o) { o.marks = "none"; }).find("--real 0") != std::string::npos);
+  CHECK(refused([](auto& o) { o.own_reads_share = 1.5; }).find("--own-reads-share 1.5") == 0);
+  CHECK(refused([](auto& o) { o.own_reads_share = 0.96; }).find("more than all statements") !=
+        std::string::npos);
+  CHECK(refused([](auto& o) { o.warm_s = 601; }).find("--warm-s 601") == 0);
+  CHECK(refused([](auto& o) { o.owners = -1; }).find("--owners -1") == 0);
+  CHECK(refused([](auto& o) { o.alone = -1; }).find("--alone -1") == 0);
+  CHECK(refused([](auto& o) { o.bytes_per_s = -1; }).find("--bytes-per-s -1") == 0);
+  CHECK(refused([](auto& o) { o.owners = 7; }).find("--marks directory") != std::string::npos);
+  CHECK(refused([](auto& o) { o.bytes_per_s = 12000; }).find("--marks directory") != std::string::npos);
+  CHECK(refused([](auto& o) {
+          o.marks = "directory";
+          o.owners = 34;
+        }).find("there are more processes") == 0);
 }
 
 TEST_CASE("a machine that is too small for the size is named before anything is started") {
@@ -52,10 +66,110 @@
   options.poolers = 820;
   options.real = 0;
   CHECK(WhyNotPlayed(options, kLarge) == "");
-  CHECK(WhyNotPlayed(options, {20000, 500}).find("MB of memory and may take 500") != std::string::npos);
-  CHECK(WhyNotPlayed(options, {256, 20000}).find("descriptors and may hold 256") != std::string::npos);
+  CHECK(WhyNotPlayed(options, {20000, 500, 10000}).find("MB of memory and may take 500") !=
+        std::string::npos);
+  CHECK(WhyNotPlayed(options, {256, 20000, 10000}).find("descriptors and may hold 256") != std::string::npos);
   options.poolers = 40;
-  CHECK(WhyNotPlayed(options, {1024, 1000}) == "");
+  CHECK(WhyNotPlayed(options, {1024, 1000, 10000}) == "");
+}
+
+TEST_CASE("a machine with too few cores for the size is named before anything is started") {
+  ScaleOptions options;
+  options.real = 0;
+  options.marks = "directory";
+  const Machine eight{20000, 20000, 8};
+  options.poolers = 205;
+  CHECK(WhyNotPlayed(options, eight) == "");
+  // Each to each grows with the square of the size.
+  options.marks = "each";
+  options.poolers = 100;
+  CHECK(WhyNotPlayed(options, eight) == "");
+  options.poolers = 820;
+  const std::string wrong = WhyNotPlayed(options, eight);
+  CHECK(wrong.find("the run would keep ") == 0);
+  CHECK(wrong.find(" cores busy and may take 6.4 of 8") != std::string::npos);
+  // Each part of the work asks for its own.
+  const auto cores = [&](auto change) {
+    ScaleOptions other;
+    other.marks = "directory";
+    change(other);
+    return CoresFor(other);
+  };
+  const double least = cores([](auto&) {});
+  CHECK(least > 0);
+  CHECK(cores([](auto& o) { o.poolers = 80; }) > 2 * least);
+  CHECK(cores([](auto& o) { o.marks = "each"; }) > least);
+  const double load = cores([](auto& o) { o.script = "load"; });
+  CHECK(load > least);
+  CHECK(cores([](auto& o) { o.script = "load", o.databases = 730; }) > load);
+  CHECK(cores([](auto& o) { o.script = "load", o.statements_per_s = 200; }) > load);
+  CHECK(cores([](auto& o) { o.statements_per_s = 200; }) == least);  // a quiet script has none
+}
+
+TEST_CASE("those set aside come after the ones with a process of their own, each in another zone") {
+  ScaleOptions options;
+  options.poolers = 64;
+  options.real = 2;
+  options.alone = 4;
+  options.owners = 7;
+  options.marks = "directory";
+  CHECK(WhyNotPlayed(options, kLarge) == "");
+  std::set<int> zones;
+  for (int i = 0; i < options.poolers; ++i) {
+    CHECK(IsOwner(options, i) == (i >= 6 && i < 13));
+    if (IsOwner(options, i)) zones.insert(PlaceOf(i, options.real).zone);
+  }
+  CHECK(zones.size() == 7);
+  ScaleSpec spec;
+  spec.poolers = 64;
+  spec.real = 2;
+  spec.alone = 4;
+  spec.owners = 7;
+  spec.hosts = 3;
+  std::set<int> apart;
+  for (int i = 2; i < 64; ++i) {
+    CHECK(spec.IsOwner(i) == IsOwner(options, i));
+    if (i < 13) apart.insert(spec.HostOf(i));
+    if (i >= 13) CHECK(spec.HostOf(i) >= 11);
+    CHECK(spec.HostOf(i) < spec.processes());
+  }
+  CHECK(apart.size() == 11);
+  CHECK(!spec.IsOwner(64));  // nor one that replaces another
+  // Those are never replaced; a rack and a zone take one with them, and a cut parts them.
+  options.script = "replaced";
+  for (const Step& step : StepsOf(options, 4)) CHECK(!IsOwner(options, step.who.front()));
+  const auto owners = [&](const char* script) {
+    options.script = script;
+    return std::ranges::count_if(StepsOf(options, 4).front().who,
+                                 [&](int pooler) { return IsOwner(options, pooler); });
+  };
+  CHECK(owners("rack") == 1);
+  CHECK(owners("zone") == 1);
+  CHECK(owners("regions") == 3);
+}
+
+TEST_CASE("the load is drawn by its shares") {
+  ScaleOptions options;
+  CHECK(OwnReadsShare(options) == doctest::Approx(0.475));  // half of those that do not write
+  options.own_reads_share = 0.14;
+  CHECK(OwnReadsShare(options) == 0.14);
+  ScaleSpec spec;
+  spec.poolers = 10;
+  spec.writes_share = 0.05;
+  spec.own_reads_share = 0.14;
+  spec.roam_share = 0.5;
+  std::mt19937_64 random(1);
+  int writes = 0, own_reads = 0, at_home = 0;
+  for (int i = 0; i < 100000; ++i) {
+    const Drawn drawn = Draw(spec, 3, random);
+    writes += drawn.cls == kMatchWrite;
+    own_reads += drawn.cls == kOwnRead;
+    CHECK(drawn.session < static_cast<std::size_t>(10 * kSessionsEach));
+    at_home += drawn.session / kSessionsEach == 3;
+  }
+  CHECK(writes == doctest::Approx(5000).epsilon(0.05));
+  CHECK(own_reads == doctest::Approx(14000).epsilon(0.05));
+  CHECK(at_home == doctest::Approx(55000).epsilon(0.05));  // and a tenth of those that roam
 }
 
 TEST_CASE("every script's steps lie within the run, and touch hollow poolers alone") {
@@ -81,6 +195,63 @@
   }
 }
 
+TEST_CASE("each script does what it is called") {
+  using What = Step::What;
+  ScaleOptions options;
+  options.poolers = 205;
+  options.real = 0;
+  options.owners = 7;
+  options.marks = "directory";
+  const auto steps = [&](const char* script) {
+    options.script = script;
+    return StepsOf(options, 244);
+  };
+  for (const char* script : {"rack", "zone"}) {
+    const auto gone = steps(script);
+    REQUIRE(gone.size() == 2);
+    CHECK(gone[0].what == What::kKill);
+    CHECK(gone[1].what == What::kRestart);
+    CHECK(gone[1].at - gone[0].at >= Duration(5'000'000));  // long enough to be held dead
+    CHECK(gone[0].who == gone[1].who);
+    std::set<int> zones;
+    for (const int who : gone[0].who) zones.insert(PlaceOf(who, 0).zone);
+    CHECK(zones.size() == 1);
+  }
+  const auto cut = steps("regions");
+  REQUIRE(cut.size() == 2);
+  CHECK(cut[0].what == What::kCut);
+  CHECK(cut[1].what == What::kHeal);
+  CHECK(cut[0].who.size() == 87);
+  for (const int who : cut[0].who) CHECK(PlaceOf(who, 0).region == 1);
+  for (const Step& step : steps("replaced")) {
+    CHECK(step.what == What::kReplace);
+    CHECK(step.who.size() == 1);
+  }
+  REQUIRE(steps("configuration").size() == 1);
+  CHECK(steps("configuration")[0].what == What::kConfiguration);
+  std::set<int> groups;
+  for (const Step& step : steps("primaries")) {
+    CHECK(step.what == What::kPrimary);
+    groups.insert(step.who.begin(), step.who.end());
+  }
+  CHECK(groups.size() == steps("primaries").size());
+  CHECK(groups.size() == 4);
+}
+
+TEST_CASE("the news of the meeting takes longer where no marks carry it, and for more poolers") {
+  ScaleOptions options;
+  const auto seconds = [&] { return static_cast<double>(NewsOfMeeting(options).count()) * 1e-6; };
+  CHECK(seconds() == 3);
+  options.script = "load";
+  CHECK(seconds() == 13);
+  options.marks = "directory";
+  options.poolers = 205;
+  CHECK(seconds() == doctest::Approx(13 + 205 * 3 * 7.693 / 60).epsilon(0.01));
+  options.poolers = 820;
+  options.script = "quiet";
+  CHECK(seconds() == doctest::Approx(3 + 820 * 3 * 9.683 / 60).epsilon(0.01));  // not cut short
+}
+
 TEST_CASE("whom a zone, a rack and a region take") {
   ScaleOptions options;
   options.poolers = 140;
@@ -163,6 +334,16 @@
   REQUIRE(std::holds_alternative<Setup>(setup));
   CHECK(std::get<Setup>(setup).peers.seeds.size() == 2);
   CHECK(std::get<Setup>(setup).peers.listen->port == 4002);
+  CHECK(!std::get<Setup>(setup).peers.owner);
+  spec.marks = "directory";
+  spec.owners = 1;
+  spec.bytes_per_s = 12000;
+  for (const int pooler : {0, 1}) {
+    const auto read = ReadSetup(ScaleSettingsOf(spec, pooler, {0, 1, 2}, 0));
+    REQUIRE(std::holds_alternative<Setup>(read));
+    CHECK(std::get<Setup>(read).peers.owner == (pooler == 0));
+    CHECK(std::get<Setup>(read).peers.bytes_per_s == 12000);
+  }
 }
 
 // ---- The seam -------------------------------------------------------------------------------------------
@@ -213,10 +394,11 @@
     host.forget = [](MemberId) {};
     instance = std::make_unique<Instance>(loop, config, setup, backends, host);
   }
-  void Ask(Duration time) {
+  void Ask(Duration time, ClassIndex cls = kHistoryRead) {
     proxy::Ask ask;
     ask.event.group = GroupId(1);
-    ask.event.cls = 2;
+    ask.event.cls = cls;
+    ask.event.session = "s1";
     ask.event.time_left = time;
     ask.work = std::make_shared<Work>();
     instance->proxy().Take(std::move(ask), client, id);
@@ -267,6 +449,29 @@
   CHECK(seam.loop.timers() == 0);
 }
 
+TEST_CASE("an instance that is taken down while it holds an answer back fails nobody afterwards") {
+  Seam seam;
+  REQUIRE(seam.instance->Start() == "");
+  proxy::Proxy::Waits waits;
+  waits.safe = [](GroupId, session::Key, std::function<void()>) { return true; };  // it never is
+  seam.instance->proxy().SetWaits(std::move(waits));
+  seam.Ask(Duration(400000), kMatchWrite);
+  REQUIRE(seam.backends.sent.size() == 1);
+  proxy::AttemptEnd end;
+  end.request = seam.backends.sent[0].request;
+  end.attempt = seam.backends.sent[0].attempt;
+  end.member = seam.backends.sent[0].member;
+  end.outcome = Outcome::kOk;
+  end.note.primary = true;
+  end.note.position = seam.loop.Now();
+  end.answer.emplace();
+  static_cast<proxy::BackendEvents&>(seam.instance->proxy()).OnAttemptEnd(end);
+  CHECK(seam.client.served == 0);
+  seam.instance.reset();
+  seam.Pass(Duration(500000));  // past the end of the request
+  CHECK(seam.client.served + seam.client.refused + seam.client.failed == 0);
+}
+
 // Two instances on one loop that speak over real sockets.
 struct Pair {
   explicit Pair(bool members_only) {
