Show what runs with owners set aside and budgets of bytes cost and held back

Cause: the table of what runs showed had no column for own-reads on the conservative target, for the machines set aside, for a budget of bytes or for control's bytes, and mixed records of before and after a change. A run's `roam_share` was converted as if machines set aside, which are among its poolers, had load: their sessions are at nobody's home. The plot repeated its colours, the budget's black among them.

Ruled out: a closed form from poolers alone, which counts two moves for a session that has no home to come back to.

--- a/docs/capacity/measure-cheap.py
+++ b/docs/capacity/measure-cheap.py
@@ -1,17 +1,23 @@
 #!/usr/bin/env python3
 """Measures what costs little, and writes docs/capacity/measurements-cheap.json: what idle clients cost one pooler,
-how long the answer of `lynxgrade peers` is, and, by the micro-benchmarks, a decision and a session in the ledger.
+how long the answer of `lynxgrade peers` is and what it costs the pooler, and, by the micro-benchmarks, a decision and a
+session in the ledger.
 
-    docs/capacity/measure-cheap.py BUILD BENCH     from the project's root; BUILD holds lynxgrade, BENCH the benchmarks
+    docs/capacity/measure-cheap.py BUILD BENCH [PART...]     from the project's root
 
-Loopback alone; some minutes. Ends what it started by its own handles. Not played by CI."""
+BUILD holds lynxgrade, BENCH the benchmarks. PART: idle_clients, peers_command, decision, ledger; records of other parts
+stay as they are. Loopback alone; some minutes. Ends what it started by its own handles. Not played by CI."""
 import json, os, resource, socket, struct, subprocess, sys, tempfile, time
 
 build, bench = sys.argv[1], sys.argv[2]
+parts = sys.argv[3:] or ["idle_clients", "peers_command", "decision", "ledger"]
+path = "docs/capacity/measurements-cheap.json"
+ANSWERS = 200  # asked one after the other, so that what one costs stands out from what the pooler does anyway
 # Of a pooler. Clients over an eighth of them are closed once they are idle for 2.2 s; fewer, for 15 s.
 SOCKETS = 20000
 commit = subprocess.check_output(["git", "rev-parse", "HEAD"], text=True).strip()[:10]
-records = []
+with open(path) as file:
+    records = [one for one in json.load(file) if one["run"]["script"] not in parts]
 
 
 def record(script, figures, seconds, poolers=1, databases=0, real=0, clients=0, seed=0, marks=None):
@@ -75,6 +81,32 @@
     raise RuntimeError("the process has ended")
 
 
+def spent_s(pid):
+    """Processor time by the kernel's account."""
+    with open(f"/proc/{pid}/schedstat") as file:
+        return int(file.read().split()[0]) * 1e-9
+
+
+def ask(port):
+    with socket.create_connection(("127.0.0.1", port), timeout=5) as s:
+        s.sendall(b"peers\n")
+        size = 0
+        while piece := s.recv(65536):
+            size += len(piece)
+        return size
+
+
+def answer_cpu_ms(process, port):
+    """Of one answer, less what the pooler spends in the same time without being asked."""
+    def spent(act):
+        began, before = time.time(), spent_s(process.pid)
+        act()
+        return spent_s(process.pid) - before, time.time() - began
+    idle, idle_for = spent(lambda: time.sleep(3))
+    asked, asked_for = spent(lambda: [ask(port) for _ in range(ANSWERS)])
+    return (asked - idle / idle_for * asked_for) / ANSWERS * 1e3
+
+
 def client(port):
     """A client that has said who it is, has been told to go on, and says no more."""
     s = socket.create_connection(("127.0.0.1", port), timeout=5)
@@ -125,12 +157,14 @@
                 file.write("1 " + "a" * 64 + "\n")
             os.chmod(key, 0o600)
             ports = [free_port(socket.SOCK_DGRAM) for _ in range(count)]
+            started = []
             for i, port in enumerate(ports):
                 seeds = ", ".join(f'"127.0.0.1:{p}"' for p in ports if p != port)
-                control = f"127.0.0.1:{free_port(socket.SOCK_STREAM)}"
-                poolers.start(f"pooler-{i}", f'[sessions]\nscope = "everywhere"\n[peers]\n'
+                control = free_port(socket.SOCK_STREAM)
+                process, _ = poolers.start(f"pooler-{i}", f'[sessions]\nscope = "everywhere"\n[peers]\n'
                               f'listen = "127.0.0.1:{port}"\nseeds = [{seeds}]\nkey_file = "{key}"\n'
-                              f'[control]\nlisten = "{control}"\n')
+                              f'[control]\nlisten = "127.0.0.1:{control}"\n')
+                started.append((process, control))
             time.sleep(8)
             for i in range(2):
                 answer = subprocess.check_output([build + "/lynxgrade", "peers", "--json", "--settings",
@@ -138,21 +172,25 @@
                 told = json.loads(answer)
                 if len(told["peers"]) != count - 1:
                     raise RuntimeError("not all poolers have found each other")
-                record("peers_command", {"peers_answer_bytes": len(answer)}, time.time() - began, poolers=count,
-                       real=count, databases=6, seed=i + 1)
+                figures = {"peers_answer_bytes": len(answer),
+                           "peers_answer_cpu_ms": round(answer_cpu_ms(*started[i]), 4)}
+                record("peers_command", figures, time.time() - began, poolers=count, real=count, databases=6,
+                       seed=i + 1)
 
 
 def benchmarks():
-    def runs(program, which):
+    def runs(program, which, part):
+        if part not in parts:
+            return []
         out = subprocess.check_output([f"{bench}/{program}", f"--benchmark_filter={which}", "--benchmark_format=json",
                                        "--benchmark_repetitions=5"], stderr=subprocess.DEVNULL)
         return [one for one in json.loads(out)["benchmarks"] if one["run_type"] == "iteration"]
-    for one in runs("decision_bench", "Decision"):
+    for one in runs("decision_bench", "Decision", "decision"):
         unit = {"ns": 1e-3, "us": 1, "ms": 1e3}[one["time_unit"]]
         record("decision", {"module_cpu_us_per_statement": round(one["cpu_time"] * unit, 4)},
                one["real_time"] * unit * one["iterations"] / 1e6, databases=int(one["name"].split("/")[1]),
                seed=one["repetition_index"] + 1)
-    for one in runs("ledger_bench", "LookUp<Flat>/1000000$"):
+    for one in runs("ledger_bench", "LookUp<Flat>/1000000$", "ledger"):
         record("ledger", {"ledger_bytes_per_session": round(one["bytes_a_session"], 2)},
                one["real_time"] * one["iterations"] / 1e9, seed=one["repetition_index"] + 1)
 
@@ -161,9 +199,11 @@
 if hard < SOCKETS:
     sys.exit(f"measure-cheap.py: {SOCKETS} descriptors are needed, and this machine allows {hard}")
 resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, hard))
-idle_clients()
-peers_command()
+if "idle_clients" in parts:
+    idle_clients()
+if "peers_command" in parts:
+    peers_command()
 benchmarks()
-with open("docs/capacity/measurements-cheap.json", "w") as file:
+with open(path, "w") as file:
     file.write("[\n" + ",\n".join(json.dumps(one) for one in records) + "\n]\n")
 print(f"{len(records)} records")
--- a/src/capacity/measurements.cpp
+++ b/src/capacity/measurements.cpp
@@ -43,11 +43,13 @@
 
 // Runs say which part of statements went to a home drawn at random, each by itself, and not to its session's
 // own. Of two statements of a session, one after the other, that makes so many come to different poolers:
-// away and back again are two.
-double RoamingShare(double roam_share, double poolers) {
+// away and back again are two. Machines set aside have homes as well, whose sessions are at no pooler for
+// long.
+double RoamingShare(double roam_share, double poolers, double owners) {
   if (poolers < 2) return 0;
-  const double away = roam_share * (1 - 1 / poolers), home = 1 - away;
-  return 1 - home * home - away * away / (poolers - 1);
+  const double homes = poolers + owners, homeless = roam_share * owners / homes, others = 1 - homeless;
+  const double away = others > 0 ? (poolers - 1) * roam_share / homes / others : 0, home = 1 - away;
+  return others * (1 - home * home - away * away / (poolers - 1)) + homeless * (1 - 1 / poolers);
 }
 
 bool NeverNought(const std::string& figure) {
@@ -70,7 +72,7 @@
   record.size.writes_share = NumberIn(run, at, "writes_share", 0, 1);
   const double own_reads = (1 - record.size.writes_share) * kPlayedOwnReads;
   record.size.own_reads_share = NumberIn(run, at, "own_reads_share", 0, 1, own_reads);
-  record.size.roaming_share = RoamingShare(NumberIn(run, at, "roam_share", 0, 1), record.size.poolers);
+  const double roam_share = NumberIn(run, at, "roam_share", 0, 1);
   record.size.session_statements = NumberIn(run, at, "session_statements", 0, kMost, 0);
   // Those set aside are among the run's poolers, and are counted apart.
   record.size.owners = NumberIn(run, at, "owners", 0, kMost, 0);
@@ -78,8 +80,10 @@
     Wrong(at, "'run.owners' is out of its bounds");
   }
   record.size.poolers -= record.size.owners;
+  record.size.roaming_share = RoamingShare(roam_share, record.size.poolers, record.size.owners);
   record.generation = NumberIn(run, at, "generation", 1, kMost, run.contains("owners") ? 2 : 1);
   record.size.changes_per_s = NumberIn(run, at, "changes_per_s", 0, kMost);
+  record.bytes_budget = NumberIn(run, at, "bytes_per_s", 0, kMost, 0);
   record.real = NumberIn(run, at, "real", 0, kMost);
   record.seconds = NumberIn(run, at, "seconds", 0, kMost);
   record.seed = NumberIn(run, at, "seed", 0, 2e19);
--- a/src/capacity/measurements.h
+++ b/src/capacity/measurements.h
@@ -36,7 +36,8 @@
   // Reads' asks were held back, by a cap on them or a budget of bytes: what is sent then is the bound's, and
   // no slope's.
   bool held_back = false;
-  double real = 0;  // how many of the poolers were processes of their own
+  double bytes_budget = 0;  // of messages of sessions, a second, as the run set it; zero: it set none
+  double real = 0;          // how many of the poolers were processes of their own
   double seconds = 0;
   double seed = 0;
   std::string script;  // what was played
--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -14,6 +14,7 @@
 constexpr double kCurvesTo = 8;      // times the target's poolers
 constexpr double kRounding = 1e-9;   // parts of a figure that are arithmetic's and no error of measurement
 constexpr double kSeen = 0.01;       // the part of a figure by which an assumption moves it, to be shown
+constexpr int kPlotColours = 7;      // of gnuplot's; the eighth is the budget's black
 constexpr double kCurveStep = 1.25;  // from one point to the next: smooth on a logarithmic scale
 
 std::string Grouped(const std::string& digits) {
@@ -409,28 +410,38 @@
          text;
 }
 
-// What runs showed of the guarantees: the worst of all records of a script and a size.
+// What runs showed of the guarantees and of what they cost: the worst of all records of a script and a size.
 std::string ShownTable(const Model& model) {
   struct Column {
     const char* figure;
     const char* name;
     bool least;
   };
-  static constexpr std::array<Column, 6> kShown = {{
+  static constexpr std::array<Column, 8> kShown = {{
       {"stale", "stale reads", false},
       {"refused", "refused", false},
       {"turned_away", "own-reads turned away", false},
+      {"conservative_share", "own-reads on the conservative target, part", false},
       {"crashed", "crashed", false},
       {"in_reach_least", "poolers in reach, least", true},
       {"configuration_in_force_s", "discovery's new address in force, s", false},
+      {"control_bytes_per_s", "control, bytes a second", false},
   }};
-  std::map<std::tuple<std::string, std::string, double>, std::map<std::string, double>> all;
+  struct Shown {
+    std::map<std::string, double> figures;
+    double statements = 0;  // of sessions, of one pooler, most
+  };
+  // Marks and script, then generation, poolers, machines set aside, and the budget of bytes that was set.
+  std::map<std::tuple<std::string, std::string, double, double, double, double>, Shown> all;
   for (const Record& record : model.records()) {
     for (const Column& column : kShown) {
       const auto told = record.figures.find(column.figure);
       if (told == record.figures.end()) continue;
-      auto& row = all[{record.script, record.marks, record.size.poolers}];
-      const auto [held, fresh] = row.emplace(column.figure, told->second);
+      const Size& size = record.size;
+      auto& row = all[{record.script, record.marks, record.generation, size.poolers, size.owners,
+                       record.bytes_budget}];
+      row.statements = std::max(row.statements, ValueOf(Term::kSessionStatements, size));
+      const auto [held, fresh] = row.figures.emplace(column.figure, told->second);
       if (!fresh) {
         held->second =
             column.least ? std::min(held->second, told->second) : std::max(held->second, told->second);
@@ -438,16 +449,22 @@
     }
   }
   if (all.empty()) return "Nothing yet.\n";
-  std::string head = "| script | marks | poolers", rule = "| --- | --- | ---", text;
+  std::string head =
+      "| script | marks | generation | poolers | owners set aside | budget of bytes set | session statements "
+      "of one, "
+      "a second";
+  std::string rule = "| --- | --- | --- | --- | --- | --- | ---", text;
   for (const Column& column : kShown) {
     head += std::string(" | ") + column.name;
     rule += " | ---";
   }
-  for (const auto& [key, figures] : all) {
-    text += "| " + std::get<0>(key) + " | " + std::get<1>(key) + " | " + Figure(std::get<2>(key));
+  for (const auto& [key, shown] : all) {
+    const auto& [script, marks, generation, poolers, owners, budget] = key;
+    text += "| " + script + " | " + marks + " | " + Figure(generation) + " | " + Figure(poolers) + " | " +
+            Figure(owners) + " | " + (budget > 0 ? Figure(budget) : "-") + " | " + Figure(shown.statements);
     for (const Column& column : kShown) {
-      const auto told = figures.find(column.figure);
-      text += " | " + (told == figures.end() ? std::string("-") : Figure(told->second));
+      const auto told = shown.figures.find(column.figure);
+      text += " | " + (told == shown.figures.end() ? std::string("-") : Figure(told->second));
     }
     text += " |\n";
   }
@@ -563,7 +580,8 @@
       page.data += line;
     }
     page.plot += ", \\\n  \"" + names.plot + "/curves.dat\" index " + std::to_string(block) +
-                 " using 1:3 with lines linewidth " +
+                 " using 1:3 with lines linetype " + std::to_string(block % kPlotColours + 1) + " dashtype " +
+                 std::to_string(block / kPlotColours + 1) + " linewidth " +
                  (row.name.find("directory") != std::string::npos ? "3" : "1") + " title \"" +
                  Bare(row.name) + "\"";
     ++block;
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -467,18 +467,24 @@
   CHECK(plain.generation == 1);
   CHECK(ValueOf(Term::kFirstMeets, plain.size) == 0);
   CHECK(read(1, "").size.roaming_share == 0);
-  // The same by drawing: away by chance, at home else, and how many come to another place than the last.
+  // The same by drawing, as the laboratory's load draws: a pooler, then its own home or one at random, and
+  // how many statements of a session come to another pooler than the one before.
   std::mt19937 random(11);
-  for (const int poolers : {2, 8, 64}) {
-    int last = 0, moved = 0;
-    constexpr int kDraws = 400'000;
-    for (int i = 0; i < kDraws; ++i) {
-      const bool drawn = std::uniform_real_distribution<double>(0, 1)(random) < 0.1;
-      const int at = drawn ? std::uniform_int_distribution<int>(0, poolers - 1)(random) : 0;
-      moved += at != last;
-      last = at;
+  for (const int owners : {0, 3}) {
+    for (const int poolers : {2, 8, 40}) {
+      std::vector<int> last(static_cast<std::size_t>(poolers + owners), -1);
+      int moved = 0;
+      constexpr int kDraws = 400'000;
+      for (int i = 0; i < kDraws; ++i) {
+        const int at = std::uniform_int_distribution<int>(0, poolers - 1)(random);
+        const bool drawn = std::uniform_real_distribution<double>(0, 1)(random) < 0.1;
+        const int home = drawn ? std::uniform_int_distribution<int>(0, poolers + owners - 1)(random) : at;
+        moved += at != std::exchange(last[static_cast<std::size_t>(home)], at);
+      }
+      const std::string more = R"(,"owners":)" + std::to_string(owners);
+      CHECK(
+          Near(read(poolers + owners, more).size.roaming_share, static_cast<double>(moved) / kDraws, 0.003));
     }
-    CHECK(Near(read(poolers, "").size.roaming_share, static_cast<double>(moved) / kDraws, 0.003));
   }
   const Record told = read(64, R"(,"own_reads_share":0.14,"session_statements":11,"owners":7)");
   CHECK(told.size.own_reads_share == 0.14);
@@ -491,6 +497,7 @@
             R"([{"run":{"poolers":7,"databases":3,"real":0,"script":"load","seed":1,"seconds":9,"clients":0,)"
             R"("statements_per_s":50,"writes_share":0.05,"roam_share":0.1,"changes_per_s":0,"commit":"abc",)"
             R"("owners":7},"figures":{}}])")) == "record 1: 'run.owners' is out of its bounds");
+  CHECK(read(64, R"(,"bytes_per_s":9000)").bytes_budget == 9'000);
   // Where many own-reads took the conservative target, their asks were held back.
   CHECK(read(64, "", R"({"conservative_share":0.2})").held_back);
   CHECK_FALSE(read(64, "", R"({"conservative_share":0.002})").held_back);
