Give each curve of the capacity plot a colour of its own

Dashes leave stray lines in a renderer that joins a key's stroke with its curve; colours do not. Directory's curves are thick, the budget black.

--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -11,10 +11,13 @@
 namespace lynxgrade::capacity {
 namespace {
 
-constexpr double kCurvesTo = 8;      // times the target's poolers
-constexpr double kRounding = 1e-9;   // parts of a figure that are arithmetic's and no error of measurement
-constexpr double kSeen = 0.01;       // the part of a figure by which an assumption moves it, to be shown
-constexpr int kPlotColours = 7;      // of gnuplot's; the eighth is the budget's black
+constexpr double kCurvesTo = 8;     // times the target's poolers
+constexpr double kRounding = 1e-9;  // parts of a figure that are arithmetic's and no error of measurement
+constexpr double kSeen = 0.01;      // the part of a figure by which an assumption moves it, to be shown
+// Told apart from each other and from the budget's black; directory's curves are thick besides.
+constexpr std::array kPlotColours = {"#1f77b4", "#ff7f0e", "#2ca02c", "#d62728", "#9467bd", "#8c564b",
+                                     "#e377c2", "#7f7f7f", "#bcbd22", "#17becf", "#aec7e8", "#ffbb78",
+                                     "#98df8a", "#ff9896", "#c5b0d5", "#c49c94"};
 constexpr double kCurveStep = 1.25;  // from one point to the next: smooth on a logarithmic scale
 
 std::string Grouped(const std::string& digits) {
@@ -580,8 +583,8 @@
       page.data += line;
     }
     page.plot += ", \\\n  \"" + names.plot + "/curves.dat\" index " + std::to_string(block) +
-                 " using 1:3 with lines linetype " + std::to_string(block % kPlotColours + 1) + " dashtype " +
-                 std::to_string(block / kPlotColours + 1) + " linewidth " +
+                 " using 1:3 with lines linecolor \"" +
+                 kPlotColours[static_cast<std::size_t>(block) % kPlotColours.size()] + "\" linewidth " +
                  (row.name.find("directory") != std::string::npos ? "3" : "1") + " title \"" +
                  Bare(row.name) + "\"";
     ++block;
