--- a/src/capacity/page.cpp
+++ b/src/capacity/page.cpp
@@ -420,12 +420,13 @@
     const char* name;
     bool least;
   };
-  static constexpr std::array<Column, 8> kShown = {{
+  static constexpr std::array<Column, 9> kShown = {{
       {"stale", "stale reads", false},
       {"refused", "refused", false},
       {"turned_away", "own-reads turned away", false},
       {"conservative_share", "own-reads on the conservative target, part", false},
       {"crashed", "crashed", false},
+      {"stalls", "loops that stood still", false},
       {"in_reach_least", "poolers in reach, least", true},
       {"configuration_in_force_s", "discovery's new address in force, s", false},
       {"control_bytes_per_s", "control, bytes a second", false},
