--- a/docs/capacity/measure-cheap.py
+++ b/docs/capacity/measure-cheap.py
@@ -5,25 +5,25 @@
 
     docs/capacity/measure-cheap.py BUILD BENCH [PART...]     from the project's root
 
-BUILD holds lynxgrade, BENCH the benchmarks. PART: idle_clients, peers_command, decision, ledger; records of other parts
-stay as they are. Loopback alone; some minutes. Ends what it started by its own handles. Not played by CI."""
+BUILD holds lynxgrade, BENCH the benchmarks. PART: idle_clients, peers_command, decision, ledger; without any, all. A part
+that is named goes to a file of its own, docs/capacity/measurements-PART.json: what was recorded before stays. Loopback alone; some minutes. Ends what it started by its own handles. Not played by CI."""
 import json, os, resource, socket, struct, subprocess, sys, tempfile, time
 
 build, bench = sys.argv[1], sys.argv[2]
 parts = sys.argv[3:] or ["idle_clients", "peers_command", "decision", "ledger"]
-path = "docs/capacity/measurements-cheap.json"
+path = "docs/capacity/measurements-" + ("-".join(sys.argv[3:]) or "cheap") + ".json"
+GENERATION = 2  # of what is measured: slopes go through the records of the last one alone
 ANSWERS = 200  # asked one after the other, so that what one costs stands out from what the pooler does anyway
 # Of a pooler. Clients over an eighth of them are closed once they are idle for 2.2 s; fewer, for 15 s.
 SOCKETS = 20000
 commit = subprocess.check_output(["git", "rev-parse", "HEAD"], text=True).strip()[:10]
-with open(path) as file:
-    records = [one for one in json.load(file) if one["run"]["script"] not in parts]
+records = []
 
 
 def record(script, figures, seconds, poolers=1, databases=0, real=0, clients=0, seed=0, marks=None):
     run = {"poolers": poolers, "databases": databases, "real": real, "script": script, "seed": seed,
            "seconds": round(seconds, 1), "clients": clients, "statements_per_s": 0, "writes_share": 0,
-           "roam_share": 0, "changes_per_s": 0, "commit": commit}
+           "roam_share": 0, "changes_per_s": 0, "generation": GENERATION, "commit": commit}
     if marks:
         run["marks"] = marks
     records.append({"run": run, "figures": figures})
--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -92,6 +92,17 @@
     return kept;
   }
 
+  // Records of this script, of the last generation that played it.
+  Keep Newest(const std::string& script) const {
+    double newest = 1;
+    for (const Record& record : records_) {
+      if (record.script == script) newest = std::max(newest, record.generation);
+    }
+    return [script, newest](const Record& record) {
+      return record.script == script && record.generation == newest;
+    };
+  }
+
   // A row by slopes of a figure.
   Row& Fitted(Row row, const std::string& figure, const std::vector<Term>& terms, const Keep& keep) {
     const Slopes slopes(terms, figure, Kept(keep));
@@ -568,7 +579,7 @@
   build.Arithmetic(sessions, [](const Target& target, Column column) {
     return Worked(ValueOf(Term::kFleetWrites, SizeIn(target, column)) * kRecallS);
   });
-  const Keep ledger = [](const Record& record) { return record.script == "ledger"; };
+  const Keep ledger = build.Newest("ledger");
   const Row& session =
       build.Fitted(Named(role, "state", "a session in the ledger, bytes", "src/session/ledger"),
                    "ledger_bytes_per_session", {Term::kOne}, ledger);
@@ -666,7 +677,7 @@
       [](const Target& target, Column column) {
         return Worked(ValueOf(Term::kStatements, SizeIn(target, column)) * target.statement_bytes.assumed);
       });
-  const Keep decision = [](const Record& record) { return record.script == "decision"; };
+  const Keep decision = build.Newest("decision");
   const Row& time =
       build.Fitted(Named(role, "processor", "a decision, microseconds a statement", "src/balance.cpp"),
                    "module_cpu_us_per_statement", {Term::kOne, Term::kDatabases}, decision);
@@ -678,7 +689,7 @@
                      cell.how = How::kWorkedOut;
                      return Times(cell, ValueOf(Term::kStatements, SizeIn(target, column)) * 1e-6 * 100);
                    });
-  const Keep idle = [](const Record& record) { return record.script == "idle_clients"; };
+  const Keep idle = build.Newest("idle_clients");
   build.Fitted(Named(role, "memory", "a pooler with idle clients, MB", "src/front, src/net",
                      "one pooler, peers off; not control"),
                "memory_mb", {Term::kOne, Term::kClients}, idle);
@@ -872,7 +883,7 @@
 
 void AddCommand(Builder& build) {
   constexpr Role role = Role::kCommand;
-  const Keep asked = [](const Record& record) { return record.script == "peers_command"; };
+  const Keep asked = build.Newest("peers_command");
   Row answer = Named(role, "messages", "answer of `lynxgrade peers`, bytes", "src/control");
   answer.budget = [](const Target&) { return kAnswerBytes; };
   answer.issue = "none yet";
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -626,6 +626,23 @@
   CHECK_FALSE(RowOf(few, "control, all kinds, both ways (marks: directory, former records)").aside);
 }
 
+TEST_CASE("model: what is measured by itself has its slope from the last generation") {
+  std::vector<Record> records;
+  for (const double generation : {1.0, 2.0}) {
+    for (const double poolers : {2.0, 4.0, 8.0, 12.0}) {
+      Record record;
+      record.script = "peers_command";
+      record.generation = generation;
+      record.size.poolers = poolers;
+      record.figures["peers_answer_bytes"] = 100 * generation + (130 + generation) * poolers;
+      records.push_back(record);
+    }
+  }
+  const Model model(records);
+  CHECK(Near(RowOf(model, "answer of `lynxgrade peers`").at(Committed(), Column::kOrdinary).value,
+             200 + 132 * 410));
+}
+
 TEST_CASE("model: a run that was too much for its machine tells no slope") {
   const Target target = Committed();
   std::vector<Record> records = Owned(2, 90);
