Let the machines set aside have worst seconds of their own

Their rows took quiet and loaded runs alone for all four columns, so a worst second would have passed for measured. Now events, a zone and a cut add what their runs show (`owner_bytes_per_s_peak` and its like), and a column without such a run says 'at least', as the poolers' rows do.

--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -722,7 +722,7 @@
     if (record.size.owners > 0) newest = std::max(newest, record.generation);
   }
   const Keep owned = [newest](const Record& record) {
-    return record.size.owners > 0 && record.generation == newest && Ordinary(record);
+    return record.size.owners > 0 && record.generation == newest;
   };
   const std::vector<Term> by_owner = {Term::kOne, Term::kPoolers, Term::kOwnerMessages};
   build.Arithmetic(
@@ -740,14 +740,14 @@
                    [](const Target& target, Column column) {
                      return Worked(ValueOf(Term::kOwnerMessages, SizeIn(target, column)));
                    });
-  build.Fitted(
+  build.FittedWithEvents(
       Named(role, "messages", "owners of sessions, both ways, bytes a second, one machine", "src/directory"),
       "owner_bytes_per_s", by_owner, owned);
   Row share = Named(role, "processor", "owners of sessions, % of a core, one machine", "src/directory");
   share.scale = 100;
-  build.Fitted(share, "owner_cpu_share", by_owner, owned);
-  build.Fitted(Named(role, "memory", "owners of sessions, MB, one machine", "src/directory"),
-               "owner_memory_mb", by_owner, owned);
+  build.FittedWithEvents(share, "owner_cpu_share", by_owner, owned);
+  build.FittedWithEvents(Named(role, "memory", "owners of sessions, MB, one machine", "src/directory"),
+                         "owner_memory_mb", by_owner, owned);
   const auto left = MachinesLeft;
   build.Arithmetic(Named(role, "state", "poolers followed by one machine, entries", "none",
                          "poolers / machines in reach: one fewer without a zone, the smaller half on a cut"),
