--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -106,6 +106,18 @@
     };
   }
 
+  // Whether some generation from this one on shows slopes of poolers that exchange marks so.
+  bool Told(const std::string& marks, double from, bool owners_aside) const {
+    std::map<double, std::vector<const Record*>> kept;
+    for (const Record& record : records_) {
+      const bool such = record.marks == marks && (record.size.owners > 0) == owners_aside;
+      if (such && record.generation >= from && Ordinary(record)) kept[record.generation].push_back(&record);
+    }
+    return std::any_of(kept.begin(), kept.end(), [](const auto& one) {
+      return Slopes({Term::kOne, Term::kPoolers}, "membership_bytes_out_per_s", one.second).fit().has_value();
+    });
+  }
+
   // A row by slopes of a figure.
   Row& Fitted(Row row, const std::string& figure, const std::vector<Term>& terms, const Keep& keep) {
     const Slopes slopes(terms, figure, Kept(keep));
@@ -337,12 +349,7 @@
       "what no budget takes off: what a read met and did not ask for is asked for by its next write there; "
       "writes and own-reads in any order";
   held(suffix, all.at, add("control, no read's ask admitted" + suffix, no_budget, with(true, false)));
-  const auto played = [&](const Record& record) {
-    Way other = way;
-    other.owners_aside = true;
-    return other.Has(record) && Ordinary(record);
-  };
-  if (!way.owners_aside && build.Kept(played).empty()) {
+  if (!way.owners_aside && !build.Told(way.marks, way.generation, true)) {
     Way other = way;
     other.owners_aside = true;
     const std::string named = other.Suffix();
@@ -530,7 +537,7 @@
 
 // The ways that runs of load and of quiet played, each once, in the order of their marks' first record and of
 // generations from the last back.
-std::vector<Way> WaysOf(const std::vector<Record>& records) {
+std::vector<Way> WaysOf(const Builder& build, const std::vector<Record>& records) {
   std::vector<std::string> marks;
   std::vector<Way> ways;
   for (const Record& record : records) {
@@ -548,15 +555,8 @@
   });
   // One record of a later generation shows no slopes yet: until some do, the former ones are what is known.
   for (Way& way : ways) {
-    for (const Way& other : ways) {
-      if (other.marks != way.marks || other.generation <= way.generation) continue;
-      way.later = true;
-      std::vector<const Record*> kept;
-      for (const Record& record : records) {
-        if (other.Has(record) && Ordinary(record)) kept.push_back(&record);
-      }
-      if (Slopes({Term::kOne, Term::kPoolers}, "membership_bytes_out_per_s", kept).fit()) way.former = true;
-    }
+    for (const Way& other : ways) way.later |= other.marks == way.marks && other.generation > way.generation;
+    way.former = build.Told(way.marks, way.generation + 1, way.owners_aside);
   }
   return ways;
 }
@@ -603,7 +603,8 @@
       build.FittedWithEvents(Named(role, "messages", "discovery's list in, bytes a second", "src/discovery"),
                              "discovery_bytes_in_per_s", {Term::kOne, Term::kDatabases, Term::kChanges},
                              [](const Record&) { return true; });
-  for (const Way& way : WaysOf(records)) AddControl(build, way, WaysOf(records).size() == 1, discovery);
+  const std::vector<Way> ways = WaysOf(build, records);
+  for (const Way& way : ways) AddControl(build, way, ways.size() == 1, discovery);
   build.Fitted(Named(role, "messages", "probes of databases out, a second", "src/balance.cpp, src/upstream"),
                "probes_per_s", {Term::kOne, Term::kDatabases, Term::kStatements}, Loaded);
   const auto probes = build.rows.back().at;
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -395,7 +395,8 @@
   // 2 x 240 / 2,000 s is 240 ms: one pooler more is too many.
   CHECK(LeavesAt(RowOf(model, "two pauses"), target, Column::kOrdinary) == 242);
   CHECK(Near(at("needed so that clients idle", Column::kOrdinary), 8 * 890'000.0 / 410 + 40));
-  // 243.3 groups are 31 packets, one every 204.5 ms; 216.04 with 364 poolers are 28, one every 181.5 ms: 5.08 s.
+  // 243.3 groups are 31 packets, one every 204.5 ms; 216.04 with 364 poolers are 28, one every 181.5 ms: 5.08
+  // s.
   const Row& round = RowOf(model, "round in which all reigns");
   CHECK(Near(round.at(target, Column::kOrdinary).value, 31 * 0.2045));
   CHECK(Near(round.at(Grown(target, 2), Column::kOrdinary).value, 0.5));
@@ -631,6 +632,18 @@
   CHECK_FALSE(RowOf(few, "control, all kinds, both ways (marks: directory, former records)").aside);
 }
 
+TEST_CASE("model: poolers that own sessions are not replaced by a later generation with owners set aside") {
+  std::vector<Record> records = Owned(1, 200);
+  for (const Record& record : Owned(2, 90, 7)) records.push_back(record);
+  const Model model(records);
+  CHECK_FALSE(RowOf(model, "control, all kinds, both ways (marks: directory, former records)").aside);
+  const std::string aside = "control, all kinds, both ways (marks: directory, owners set aside";
+  CHECK(RowOf(model, aside).name.find("former") == std::string::npos);
+  int rows = 0;  // what was worked out of the former ones gives way to what was played
+  for (const Row& row : model.rows()) rows += row.name.find(aside) != std::string::npos;
+  CHECK(rows == 1);
+}
+
 TEST_CASE("model: what is measured by itself has its slope from the last generation") {
   std::vector<Record> records;
   for (const double generation : {1.0, 2.0}) {
