--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -106,6 +106,18 @@
     };
   }
 
+  // Whether some generation from this one on shows slopes of poolers that exchange marks so.
+  bool Told(const std::string& marks, double from, bool owners_aside) const {
+    std::map<double, std::vector<const Record*>> kept;
+    for (const Record& record : records_) {
+      const bool such = record.marks == marks && (record.size.owners > 0) == owners_aside;
+      if (such && record.generation >= from && Ordinary(record)) kept[record.generation].push_back(&record);
+    }
+    return std::any_of(kept.begin(), kept.end(), [](const auto& one) {
+      return Slopes({Term::kOne, Term::kPoolers}, "membership_bytes_out_per_s", one.second).fit().has_value();
+    });
+  }
+
   // A row by slopes of a figure.
   Row& Fitted(Row row, const std::string& figure, const std::vector<Term>& terms, const Keep& keep) {
     const Slopes slopes(terms, figure, Kept(keep));
@@ -337,12 +349,7 @@
       "what no budget takes off: what a read met and did not ask for is asked for by its next write there; "
       "writes and own-reads in any order";
   held(suffix, all.at, add("control, no read's ask admitted" + suffix, no_budget, with(true, false)));
-  const auto played = [&](const Record& record) {
-    Way other = way;
-    other.owners_aside = true;
-    return other.Has(record) && Ordinary(record);
-  };
-  if (!way.owners_aside && build.Kept(played).empty()) {
+  if (!way.owners_aside && !build.Told(way.marks, way.generation, true)) {
     Way other = way;
     other.owners_aside = true;
     const std::string named = other.Suffix();
@@ -530,7 +537,7 @@
 
 // The ways that runs of load and of quiet played, each once, in the order of their marks' first record and of
 // generations from the last back.
-std::vector<Way> WaysOf(const std::vector<Record>& records) {
+std::vector<Way> WaysOf(const Builder& build, const std::vector<Record>& records) {
   std::vector<std::string> marks;
   std::vector<Way> ways;
   for (const Record& record : records) {
@@ -548,15 +555,8 @@
   });
   // One record of a later generation shows no slopes yet: until some do, the former ones are what is known.
   for (Way& way : ways) {
-    for (const Way& other : ways) {
-      if (other.marks != way.marks || other.generation <= way.generation) continue;
-      way.later = true;
-      std::vector<const Record*> kept;
-      for (const Record& record : records) {
-        if (other.Has(record) && Ordinary(record)) kept.push_back(&record);
-      }
-      if (Slopes({Term::kOne, Term::kPoolers}, "membership_bytes_out_per_s", kept).fit()) way.former = true;
-    }
+    for (const Way& other : ways) way.later |= other.marks == way.marks && other.generation > way.generation;
+    way.former = build.Told(way.marks, way.generation + 1, way.owners_aside);
   }
   return ways;
 }
@@ -603,7 +603,8 @@
       build.FittedWithEvents(Named(role, "messages", "discovery's list in, bytes a second", "src/discovery"),
                              "discovery_bytes_in_per_s", {Term::kOne, Term::kDatabases, Term::kChanges},
                              [](const Record&) { return true; });
-  for (const Way& way : WaysOf(records)) AddControl(build, way, WaysOf(records).size() == 1, discovery);
+  const std::vector<Way> ways = WaysOf(build, records);
+  for (const Way& way : ways) AddControl(build, way, ways.size() == 1, discovery);
   build.Fitted(Named(role, "messages", "probes of databases out, a second", "src/balance.cpp, src/upstream"),
                "probes_per_s", {Term::kOne, Term::kDatabases, Term::kStatements}, Loaded);
   const auto probes = build.rows.back().at;
@@ -633,16 +634,18 @@
     return Worked(2 * std::max(kIdleFlushMs, PauseMs(poolers)));
   });
   Row reigns = Named(
-      role, "state", "groups whose primary is told to one pooler in a round, needed", "src/peers/exchange",
-      "databases / members of a group; the limit is 8 a packet in rounds of 500 ms, each of which begins "
-      "with the same groups; in a trial in virtual time 40 of 243 groups were known to 3 and to 50 poolers "
-      "after 60 s");
-  reigns.budget = [](const Target& target) {
-    return kReignsAPacket * std::ceil(kReignsEveryMs / std::max(kIdleFlushMs, PauseMs(target.poolers)));
-  };
+      role, "messages", "round in which all reigns of primaries are told to one pooler again, s",
+      "src/peers/exchange",
+      "from each to each, databases / members of a group, 8 a packet; a reign that changed goes first, with "
+      "the "
+      "next packet, and one whose packet was lost is told again within a round: beside the time in which a "
+      "change of primary is to be over");
+  reigns.budget = [](const Target& target) { return target.primary_change_within_s; };
   reigns.issue = "38";
-  build.Arithmetic(reigns, [](const Target& target, Column) {
-    return Worked(target.databases / target.members_of_a_group.assumed);
+  build.Arithmetic(reigns, [](const Target& target, Column column) {
+    const Size size = SizeIn(target, column);
+    const double packets = std::ceil(size.groups / kReignsAPacket);
+    return Worked(std::max(kReignsEveryMs, packets * std::max(kIdleFlushMs, PauseMs(size.poolers))) / 1000);
   });
   Row wait = Named(role, "messages", "wait of a read that asks poolers of the other region, ms",
                    "src/session/keeper", "one round trip, beside `hold_ms`; longer ones are not waited for");
@@ -728,16 +731,17 @@
     return record.size.owners > 0 && record.generation == newest;
   };
   const std::vector<Term> by_owner = {Term::kOne, Term::kPoolers, Term::kOwnerMessages};
-  build.Arithmetic(
-      Named(
-          role, "state", "sessions owned by one machine, entries", "src/directory",
-          "first meets of all poolers x 63 s (a lease of 30 s, a tenth longer at the owner, and `recall`) / "
-          "machines in reach; a session that goes on stays longer; needs owners set aside"),
-      [](const Target& target, Column column) {
-        const Size size = SizeIn(target, column);
-        const double met = ValueOf(Term::kFirstMeets, size) * size.poolers;
-        return Cell{How::kWorkedOut, met * kOwnedForS / size.owners, 0, true};
-      });
+  Row entries = Named(
+      role, "state", "sessions owned by one machine, entries", "src/directory",
+      "first meets of all poolers x 63 s (a lease of 30 s, a tenth longer at the owner, and `recall`) / "
+      "machines in reach; a session that goes on stays longer; needs owners set aside");
+  entries.budget = [](const Target&) { return kSessionsOwned; };
+  entries.issue = "none yet";
+  build.Arithmetic(entries, [](const Target& target, Column column) {
+    const Size size = SizeIn(target, column);
+    const double met = ValueOf(Term::kFirstMeets, size) * size.poolers;
+    return Cell{How::kWorkedOut, met * kOwnedForS / size.owners, 0, true};
+  });
   build.Arithmetic(Named(role, "messages", "messages of sessions at one machine, in and out, a second",
                          "src/directory", "2 a first meet, 4 a roaming statement; needs owners set aside"),
                    [](const Target& target, Column column) {
