--- a/lab/scale_host.cpp
+++ b/lab/scale_host.cpp
@@ -34,7 +34,9 @@
 constexpr Duration kGone{1000};  // until a connection to a dead machine is refused
 constexpr Duration kLoadEvery{5000};
 constexpr Duration kMostLoad{100000};  // asked for at once
-constexpr Duration kBetweenStarts{2000};
+// Between two starts of the whole fleet, for each of its poolers: each is news for all who are there. All at
+// once the news of 205 kept eight cores from answering pings in time.
+constexpr Duration kStartAPeer{20};
 constexpr Duration kReadTime{1200000}, kWriteTime{5000000};
 
 std::int64_t ThreadUs() {
@@ -461,7 +463,8 @@
   // What a first instance needs once, the loaded module above all, is not a further one's.
   memory_before_ = MemoryKb();
   descriptors_before_ = Descriptors();
-  StartNext();
+  // The processes take turns.
+  starts_.After(kStartAPeer * spec_.poolers * number_, [this] { StartNext(); });
 }
 
 void Host::Begin(int pooler, const std::vector<int>& others) {
@@ -477,7 +480,7 @@
   to_start_.erase(to_start_.begin());
   Begin(pooler, others);
   if (hollow_.size() == 1) memory_before_ = MemoryKb();
-  starts_.After(kBetweenStarts, [this] { StartNext(); });
+  starts_.After(kStartAPeer * spec_.poolers * spec_.processes(), [this] { StartNext(); });
 }
 
 bool Host::Passes(int from, const std::string& address) const {
