--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -40,7 +40,7 @@
   struct Waits {
     // A write is about to be answered.
     session::Keeper::Wrote wrote;
-    // Calls back when the write told last may be answered as its session allows; false if it may be right now.
+    // Calls back when the write told last may be answered as its session allows; false if it may right now.
     // What may not be by the end of its request fails then.
     std::function<bool(GroupId, session::Key, std::function<void()>)> safe;
     // A read would do better with word from the other instances.
