--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -84,7 +84,7 @@
 std::uint64_t Exchange::NumberOf(const std::string& name) { return XXH3_64bits(name.data(), name.size()); }
 
 void Exchange::Wrote(GroupId group, session::Key key, const session::Mark& mark) {
-  if (directory_ != nullptr && flushed_to_ == 0) {
+  if (directory_ != nullptr && flushed_to_.empty()) {
     // Nobody takes marks in sequence: who comes that does gets the whole ledger.
     base_ += own_.size() + 1;
     own_.clear();
@@ -130,57 +130,74 @@
       return !std::ranges::binary_search(swim_.standing().lives(), life);
     });
   }
-  addresses_.clear();
-  for (const auto& [name, peer] : swim_.peers()) {
-    if (Directed(peer.member)) directed_.insert(peer.member.life());
-    addresses_[peer.member.life()] = peer.member.address();
-  }
-  for (const auto& [name, peer] : swim_.peers()) {
-    if (peer.member.state() == wire::Member::LEFT) {
-      const auto link = links_.find(name);
-      if (link == links_.end() || link->second.life != peer.member.life()) continue;
-      // Its last writes may not have come through: they were answered before it said that it leaves.
-      if (link->second.covered < now) keeper_.AddGap(NumberOf(name), link->second.covered, now);
-      keeper_.Uncount(NumberOf(name));
-      links_.erase(link);
-      if (say_) say_("peer " + name + " has left");
-      continue;
-    }
-    const bool dead = peer.member.state() == wire::Member::DEAD;
-    if (const auto known = links_.find(name); known != links_.end()) {
-      if (std::exchange(known->second.dead, dead) != dead && say_) {
-        say_("peer " + name + (dead ? " is held dead" : " is heard again"));
-      }
-      continue;
-    }
-    Link& link = links_[name];
-    link.dead = dead;
-    link.life = peer.member.life();
-    link.began = now;
-    keeper_.Covered(NumberOf(name), Time{});
-    // Earlier lives of it may have answered what it does not know any more.
-    const Time started = At(static_cast<std::int64_t>(peer.member.started_us()));
-    keeper_.AddGap(NumberOf(name), Time{}, std::min(now, started + kSkew));
-    if (say_) say_("peer " + name + " counts from now on");
-  }
-  std::erase_if(links_, [&](const auto& item) {
-    if (swim_.peers().contains(item.first)) return false;
-    keeper_.Uncount(NumberOf(item.first));
-    if (say_) say_("peer " + item.first + " was dead for so long that it counts no more");
-    return true;
-  });
-  flushed_to_ = static_cast<std::size_t>(std::ranges::count_if(links_, [this](const auto& item) {
-    const auto peer = swim_.peers().find(item.first);
-    return peer != swim_.peers().end() && !Directed(peer->second.member);
-  }));
+  // Only those that have changed: while hundreds meet each packet brings some, and a walk over all for each
+  // was half of what a start cost.
+  std::vector<std::string> names = swim_.TakeChanged();
+  for (std::string& name : std::exchange(again_, {})) names.push_back(std::move(name));
+  for (const std::string& name : names) FollowOne(now, name);
+  if (std::exchange(unheard_, swim_.unheard_seeds().size()) == swim_.unheard_seeds().size()) return;
+  const std::set<std::string> unheard(swim_.unheard_seeds().begin(), swim_.unheard_seeds().end());
   std::erase_if(placeholders_, [&](const auto& item) {
-    const auto& unheard = swim_.unheard_seeds();
-    if (std::ranges::find(unheard, item.first) != unheard.end()) return false;
+    if (unheard.contains(item.first)) return false;
     keeper_.Uncount(item.second);
     return true;
   });
 }
 
+void Exchange::FollowOne(Time now, const std::string& name) {
+  const auto peer = swim_.peers().find(name);
+  const auto known = links_.find(name);
+  if (peer == swim_.peers().end()) {
+    if (const auto life = lives_.find(name); life != lives_.end()) {
+      addresses_.erase(life->second);
+      lives_.erase(life);
+    }
+    flushed_to_.erase(name);
+    if (known == links_.end()) return;
+    keeper_.Uncount(NumberOf(name));
+    if (say_) say_("peer " + name + " was dead for so long that it counts no more");
+    links_.erase(known);
+    return;
+  }
+  const wire::Member& member = peer->second.member;
+  if (Directed(member)) directed_.insert(member.life());
+  if (const std::uint64_t former = std::exchange(lives_[name], member.life()); former != member.life()) {
+    addresses_.erase(former);
+  }
+  addresses_[member.life()] = member.address();
+  if (member.state() == wire::Member::LEFT) {
+    if (known == links_.end() || known->second.life != member.life()) return;
+    // Its last writes may not have come through: they were answered before it said that it leaves.
+    if (known->second.covered < now) keeper_.AddGap(NumberOf(name), known->second.covered, now);
+    keeper_.Uncount(NumberOf(name));
+    links_.erase(known);
+    flushed_to_.erase(name);
+    if (say_) say_("peer " + name + " has left");
+    return;
+  }
+  if (Directed(member)) {
+    flushed_to_.erase(name);
+  } else {
+    flushed_to_.insert(name);
+  }
+  const bool dead = member.state() == wire::Member::DEAD;
+  if (known != links_.end()) {
+    if (std::exchange(known->second.dead, dead) != dead && say_) {
+      say_("peer " + name + (dead ? " is held dead" : " is heard again"));
+    }
+    return;
+  }
+  Link& link = links_[name];
+  link.dead = dead;
+  link.life = member.life();
+  link.began = now;
+  keeper_.Covered(NumberOf(name), Time{});
+  // Earlier lives of it may have answered what it does not know any more.
+  const Time started = At(static_cast<std::int64_t>(member.started_us()));
+  keeper_.AddGap(NumberOf(name), Time{}, std::min(now, started + kSkew));
+  if (say_) say_("peer " + name + " counts from now on");
+}
+
 void Exchange::Send(const std::string& address, wire::Packet packet, std::vector<Out>& out) {
   swim_.Dress(packet);
   ++counts_.packets_out;
@@ -200,7 +217,7 @@
     Pack(now, due, out);
     AskReigns(now, out);
   }
-  if (options_.members_only || flushed_to_ == 0) return;
+  if (options_.members_only || flushed_to_.empty()) return;
   const Duration interval = Interval();
   // Rumours go out with the first packets of a flush. From a start that turns they reach all, not the same
   // few: with 64 instances one heard of a death 11 s after the others.
@@ -354,6 +371,7 @@
 // It began anew: what its last life answered after its last word is not known, unless it knows that itself.
 void Exchange::NewLife(Time now, const std::string& name, Link& link, const wire::Packet& packet) {
   if (say_) say_("peer " + name + " has started anew");
+  again_.push_back(name);
   const Time covered = link.covered;
   const Time earlier = link.had_coverage ? covered : Time{};
   link = Link{};
--- a/src/peers/exchange.h
+++ b/src/peers/exchange.h
@@ -143,6 +143,7 @@
   static std::uint64_t NumberOf(const std::string& name);
   // Takes over what membership says, where that has changed.
   void Follow(Time now);
+  void FollowOne(Time now, const std::string& name);
   void NewLife(Time now, const std::string& name, Link& link, const wire::Packet& packet);
   void Flush(Time now, const std::string& name, Link& link, bool solicit, std::vector<Out>& out);
   void AddReigns(Time now, Link& link, wire::Packet& packet);
@@ -176,10 +177,13 @@
   std::unique_ptr<directory::Courier> courier_;  // of the directory
   Time looked_for_near_{};
   std::uint64_t changes_ = 0;   // of members, as last followed
-  std::size_t flushed_to_ = 0;  // links to those that take marks
+  // Who is to be followed at the next change of members, as something of its link has changed here.
+  std::vector<std::string> again_;
+  std::set<std::string> flushed_to_;  // names of those with a link that take marks
   // Lives that go by the directory, also those that were replaced: a view may still name them.
   std::set<std::uint64_t> directed_;
   std::unordered_map<std::uint64_t, std::string> addresses_;  // by life, of all members as last followed
+  std::unordered_map<std::string, std::uint64_t> lives_;      // by name, likewise
   std::vector<directory::Life> owners_;                       // those of the view `owners_of_`
   std::uint64_t owners_of_ = 0;
   Time doubted_until_{};  // an older life of somebody's name was heard beside the one that counts
@@ -202,6 +206,7 @@
   std::uint64_t turn_;
   std::map<std::string, Link> links_;
   std::map<std::string, std::uint64_t> placeholders_;  // seeds that were never heard, by address
+  std::size_t unheard_ = 0;                            // how many there were, as last followed
   struct Own {
     GroupId group;
     session::Key key;
--- a/src/peers/swim.cpp
+++ b/src/peers/swim.cpp
@@ -133,6 +133,7 @@
     if (now - item.second.changed < options_.forget) return false;
     differences_.erase(item.first);
     ++changes_;
+    changed_.push_back(item.first);
     moved_ = true;
     return true;
   });
@@ -311,6 +312,7 @@
   peer.member.set_state(state);
   moved_ = true;
   ++changes_;
+  changed_.push_back(peer.member.name());
   if (state != wire::Member::SUSPECT) peer.accusers.clear();
   peer.changed = now;
   Tell(peer.member.name());
@@ -329,9 +331,11 @@
     }
     return;
   }
-  if (std::erase(unheard_, member.address()) > 0) ++changes_;
   auto [it, fresh] = peers_.try_emplace(member.name());
   Peer& peer = it->second;
+  // Of one that is known under its address it was done then; a walk over all seeds for each rumour is not.
+  const bool at_new_address = fresh || peer.member.address() != member.address();
+  if (at_new_address && std::erase(unheard_, member.address()) > 0) ++changes_;
   const bool later_life = fresh || member.started_us() > peer.member.started_us();
   if (!later_life && member.life() != peer.member.life()) {
     if (directly) ++conflicts_;
@@ -356,6 +360,7 @@
   }
   moved_ = true;
   ++changes_;
+  changed_.push_back(member.name());
   const bool moved = fresh || peer.member.state() != member.state() || later_life;
   peer.member = member;
   peer.accusers.clear();
--- a/src/peers/swim.h
+++ b/src/peers/swim.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "balance.h"
@@ -85,6 +86,8 @@
   std::uint64_t conflicts() const { return conflicts_; }
   // Rises whenever what `peers` or `unheard_seeds` tell changes but for when a peer was heard.
   std::uint64_t changes() const { return changes_; }
+  // Names of those in `peers` that came, changed or went since the last call; some perhaps more than once.
+  std::vector<std::string> TakeChanged() { return std::exchange(changed_, {}); }
   // Whether a later-started one of its name runs, as far as this instance has heard: it stands aside.
   bool aside() const { return aside_; }
   // How far this instance doubts itself: 0, or by how many times its periods and waits are longer.
@@ -184,6 +187,7 @@
   std::uint64_t conflicts_ = 0;
   bool aside_ = false;
   std::uint64_t changes_ = 1;
+  std::vector<std::string> changed_;
   int doubt_ = 0;
   Time now_{};
   Time ticked_{};
