--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -216,13 +216,10 @@
 
   // Members are replaced under new ids as long as the service runs: what is gone for good must not stay. One
   // that comes back soon is known by what it was.
-  void DropGone() {
-    std::erase_if(members_, [this](const auto& item) {
-      const Member& m = item.second;
-      if (!m.gone || now_ - *m.gone < kGoneKept || m.probing || !m.out.empty()) return false;
-      std::erase(groups_[m.group].members, m.id);
-      return true;
-    });
+  bool Forgotten(const Member& m) {
+    if (!m.gone || now_ - *m.gone < kGoneKept || m.probing || !m.out.empty()) return false;
+    std::erase(groups_[m.group].members, m.id);
+    return true;
   }
 
   bool Cold(const Member& m) const { return m.started && now_ < *m.started + s_.cold_time; }
@@ -960,9 +957,12 @@
   void Beat() {
     SetTimer(TimerKind::kBeat, kPause);
     double warm = 0;  // members' worth of warm capacity
-    for (const auto& [id, m] : members_) warm += Usable(m) ? WarmShare(m) : 0;
+    // One walk: with 730 members each costs a proxy that carries nothing 0.2 % of a core.
+    std::erase_if(members_, [&](const auto& item) {
+      warm += Usable(item.second) ? WarmShare(item.second) : 0;
+      return Forgotten(item.second);
+    });
     carried_.End(Seconds(kPause), warm);
-    DropGone();
     SeekPrimaries();
     ProbeStale();
     stirred_ = true;
@@ -985,7 +985,7 @@
   // The positions heard longest ago, those of unheard members first, within the probes' part of the price; a
   // few a beat, as all proxies may have started together.
   void ProbeStale() {
-    if (s_.reports == Reports::kNone) return;
+    if (s_.reports == Reports::kNone || probe_tokens_ < 1) return;
     const int pauses = s_.answers_tell_position ? kStaleToldPauses : kStalePauses;
     std::vector<Member*> stale;
     for (auto& [id, m] : members_) {
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -159,6 +159,9 @@
 }
 
 void Peers::TellPart() {
+  // A walk over all members: not on each tick.
+  if (loop_.Now() - part_told_ < kTellPartEvery) return;
+  part_told_ = loop_.Now();
   const members::Standing::Value value = exchange_->StandingAt(loop_.Precise());
   if (value.part == part_) return;
   part_ = value.part;
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -45,6 +45,7 @@
   static constexpr int kDatagramsAtOnce = 64;  // a flood must not keep clients waiting
   static constexpr std::size_t kMostDatagram = 65536;
   static constexpr Duration kTick{5000};
+  static constexpr Duration kTellPartEvery{50000};  // a line of the log; who acts on the part looks itself
   // Requests whose answers wait for longer are long over.
   static constexpr Duration kMostWait{60000000};
   // Answered writes of sessions that are not held yet.
@@ -89,6 +90,7 @@
   net::Timer ask_again_;
   net::LogLimit complaints_;
   members::Part part_ = members::Part::kInDoubt;
+  Time part_told_{};
   Time started_{};
   std::uint64_t dropped_ = 0;
   std::uint64_t conflicts_ = 0;  // as last said
