--- a/lab/scale_script.cpp
+++ b/lab/scale_script.cpp
@@ -15,11 +15,11 @@
 constexpr int kDescriptorsEach = 3, kDescriptorsRest = 100;
 // Of the machine's cores, the others are for the kernel and for what else runs there.
 constexpr double kCoresPart = 0.8;
-// Cores of a hollow pooler among many in one process, rounded up from what was measured at 16 to 205: by
-// itself, for each of the others, and for each of them that is told marks; and with a load for each database,
-// for each statement a second, and for each mark that is told.
-constexpr double kCoresEach = 0.0015, kCoresAPeer = 2.5e-5, kCoresAPeerWithMarks = 3.2e-4;
-constexpr double kCoresADatabase = 8e-6, kCoresAStatement = 4e-5, kCoresAMark = 2.6e-4;
+// Cores of a hollow pooler among many in one process, rounded up from what was measured at 37 to 212 with 30
+// and 730 databases: by itself, for each of the others, and for each of them that is told marks; for each
+// database; and with a load for each statement a second, and for each mark that is told.
+constexpr double kCoresEach = 0.004, kCoresAPeer = 2e-6, kCoresAPeerWithMarks = 3.2e-4;
+constexpr double kCoresADatabase = 3e-6, kCoresAStatement = 3.8e-5, kCoresAMark = 2.6e-4;
 constexpr Duration kMeeting{3'000'000};  // its news is still under way when all have met
 // With a load, until what may have been answered before the start does not matter any more (recall_s).
 constexpr Duration kRecalled{13'000'000};
@@ -63,11 +63,11 @@
 
 double CoresFor(const ScaleOptions& options) {
   const bool each = options.marks == "each";
-  double cores = kCoresEach + (kCoresAPeer + (each ? kCoresAPeerWithMarks : 0)) * options.poolers;
+  double cores = kCoresEach + (kCoresAPeer + (each ? kCoresAPeerWithMarks : 0)) * options.poolers +
+                 kCoresADatabase * options.databases;
   if (HasLoad(options.script)) {
     const double marks = each ? options.writes_share * options.poolers : 0;
-    cores += kCoresADatabase * options.databases +
-             options.statements_per_s * (kCoresAStatement + kCoresAMark * marks);
+    cores += options.statements_per_s * (kCoresAStatement + kCoresAMark * marks);
   }
   return cores * options.poolers;
 }
