Tell the exchange's processor time on the page on capacity; test its account and coalesce_ms

A row beside control's processor time takes the exchange's own account where records have it, as with a load the process's also serves statements. control_test asks a running pooler twice; the settings' test refuses 101 ms.

--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -180,6 +180,12 @@
     return all.back();
   }
 
+  // Whether any record of an ordinary run tells the figure.
+  bool Tells(const Keep& keep, const std::string& figure) const {
+    const auto tells = [&](const Record& r) { return keep(r) && Ordinary(r) && r.figures.contains(figure); };
+    return !Kept(tells).empty();
+  }
+
   Row& Arithmetic(Row row, std::function<Cell(const Target&, Column)> at) {
     row.at = std::move(at);
     return Add(std::move(row));
@@ -513,6 +519,13 @@
       by_packets};
   const std::vector<Term> work = build.FirstTold(each ? by_all : either(by_packets), "cpu_share", keep);
   build.FittedWithEvents(cpu, "cpu_share", work, keep, packets);
+  if (!each && build.Tells(keep, "exchange_cpu_share")) {
+    Row exchange = cpu;
+    exchange.name = "of it the exchange, by its own account" + suffix + ", % of a core";
+    exchange.note = "with a load the row above holds what serving costs as well";
+    build.FittedWithEvents(exchange, "exchange_cpu_share",
+                           build.FirstTold(either(by_packets), "exchange_cpu_share", keep), keep, packets);
+  }
   Row real = Named(Role::kPooler, "memory", "a whole process without clients" + suffix + ", MB",
                    "src/peers, src/session, src/discovery, src/balance.cpp");
   real.budget = [](const Target& target) { return target.memory_mb; };
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -191,6 +191,16 @@
   CHECK(json.at("size") == 2);
   CHECK(json.at("part") == "in doubt");
   CHECK(json.at("unheard") == nlohmann::json::array({"127.0.0.1:9"}));
+  // It has pinged its seed since the start, and goes on; it has spent no more than there was.
+  const double spent = json.at("spent_s").get<double>();
+  CHECK(spent > 0);
+  CHECK(spent < 60);
+  for (int i = 0; i < 50; ++i) {
+    const auto later = Command({POOLER, "peers", "--settings", settings.c_str(), "--json"}).first;
+    if (nlohmann::json::parse(later).at("spent_s").get<double>() > spent) break;
+    CHECK(i < 49);
+    g_usleep(20000);
+  }
   const auto table = Command({POOLER, "peers", "--settings", settings.c_str()});
   CHECK(table.second);
   CHECK(table.first.find("instance n1 of 2: ") == 0);
--- a/tests/directory_exchange_test.cpp
+++ b/tests/directory_exchange_test.cpp
@@ -1027,6 +1027,10 @@
   REQUIRE(std::holds_alternative<Setup>(aside));
   CHECK(std::get<Setup>(aside).peers.owner);
   CHECK(std::get<Setup>(aside).peers.bytes_per_s == 12000);
+  CHECK(std::get<Setup>(aside).peers.coalesce == kMs * 5);
+  const auto waits = ReadSetup(listens + "marks = \"directory\"\nbytes_per_s = 12000\ncoalesce_ms = 8\n");
+  REQUIRE(std::holds_alternative<Setup>(waits));
+  CHECK(std::get<Setup>(waits).peers.coalesce == kMs * 8);
   const auto neither = ReadSetup(listens + "marks = \"directory\"\n");
   REQUIRE(std::holds_alternative<Setup>(neither));
   CHECK_FALSE(std::get<Setup>(neither).peers.owner);
@@ -1042,6 +1046,7 @@
         Wrong{listens + "owner = true\n", "'peers.owner' is of use only"},
         Wrong{listens + "marks = \"directory\"\nowner = 1\n", "'peers.owner' is not true or false"},
         Wrong{listens + "bytes_per_s = 12000\n", "'peers.bytes_per_s' holds back"},
+        Wrong{listens + "coalesce_ms = 101\n", "'peers.coalesce_ms' lies outside"},
         Wrong{listens + "marks = \"directory\"\nbytes_per_s = -1\n", "'peers.bytes_per_s' lies outside"}}) {
     CAPTURE(wrong.text);
     const auto setup = ReadSetup(wrong.text);
