Forget the round trip to a member's former life; say what a short budget is

Read again: a later life of a name may run elsewhere, and the smoothed round trip of the former one chose the owner to speak by way of. directory_exchange_test, members_test and peers_test pass.

--- a/src/directory/budget.h
+++ b/src/directory/budget.h
@@ -25,7 +25,7 @@
     Fill(now);
     return bytes_per_s_ <= 0 || left_ >= static_cast<double>(bytes);
   }
-  // Whether less is left than keeps up with what comes: what is spent has to become less.
+  // Whether under half of what may be saved up is left: what can be said in fewer bytes should be.
   bool Short(Time now) {
     Fill(now);
     return bytes_per_s_ > 0 && left_ < bytes_per_s_ * kSaved / 2;
--- a/src/peers/swim.cpp
+++ b/src/peers/swim.cpp
@@ -361,6 +361,7 @@
   moved_ = true;
   ++changes_;
   changed_.push_back(member.name());
+  if (later_life) peer.round_trip.reset();  // another process, perhaps elsewhere
   const bool moved = fresh || peer.member.state() != member.state() || later_life;
   peer.member = member;
   peer.accusers.clear();
