--- a/review/stand_ins/kit.h
+++ b/review/stand_ins/kit.h
@@ -340,7 +340,7 @@
     } else if (target - member.position < 2 * dt + 20000) {
       member.position = target;
     } else {
-      member.position = std::min(target, member.position + static_cast<Us>(static_cast<double>(dt) * 1.67));
+      member.position = std::min(target, member.position + static_cast<Us>(static_cast<double>(dt) * 1.89));
     }
   }
   Us PositionLocked(std::size_t member) {
@@ -364,9 +364,11 @@
   std::function<Us()> work = [] { return Us{3000}; };
   Us idle_close = 15000000;
   Us key_window = 3000000;
+  bool read_at_start = false;     // a read sees the data as they are when it comes, not when it ends
   bool position_in_reads = true;  // answers of reads tell the position
   bool report_in_answers = false;
   bool probes = true;
+  std::function<bool()> second_copy;  // whether an answer is followed by a second copy of itself
   // Load reports are taken every `report_period` and are `report_delay` old when they are given out.
   Us report_period = 0, report_delay = 0;
   // Called before a read is answered, with when its last byte came, the position it is answered from and its body.
@@ -398,12 +400,13 @@
       shutdown(fd, SHUT_RD);  // the thread of the connection wakes and closes it
     }
   }
-  std::string Entry(const char* state = "Ready") const {
+  // `through`: the port at which poolers reach it, if that is not its own.
+  std::string Entry(const char* state = "Ready", int through = 0) const {
     char text[512];
     snprintf(text, sizeof text,
              R"({"uid":"%s","endpoint":"127.0.0.1:%d","az":"a","model":"m1","pod_group":%d,"state":"%s",)"
              R"("capacity_hint":1.0,"boot_ms":0})",
-             uid.c_str(), port, group_number, state);
+             uid.c_str(), through != 0 ? through : port, group_number, state);
     return text;
   }
 
@@ -411,6 +414,7 @@
   const int group_number;
   const std::size_t member;
   const int port;
+  std::atomic<int> copies_sent{0};
 
  private:
   void Listen() {
@@ -484,6 +488,14 @@
       if (type != 'Q') return;
       const std::string answer = Answer(body.substr(0, body.size() - 1), received);
       if (dead_ || !SendAll(fd, answer)) return;
+      if (!options_.second_copy || !options_.second_copy()) continue;
+      // A second copy directly behind, when nothing else is waiting on the connection.
+      pollfd entry{fd, POLLIN, 0};
+      if (!buffer.empty() || poll(&entry, 1, 0) > 0) continue;
+      if (!SendAll(fd, answer)) return;
+      ++copies_sent;
+      Record("server %s sent a second copy of its answer to id=%s directly behind", uid.c_str(),
+             Field(body, "id").c_str());
     }
   }
 
@@ -515,8 +527,9 @@
         }
       }
     } else {
-      SleepUs(options_.work());
+      if (!options_.read_at_start) SleepUs(options_.work());
       const auto [value, position] = group_.Read(member, quoted[0]);
+      if (options_.read_at_start) SleepUs(options_.work());
       out = Row(value, "SELECT 1");
       if (options_.position_in_reads) told = position;
       Record("server %s ran read id=%s oid=%s body=%s position=%lld received=%lld", uid.c_str(), id.c_str(),
