Log each query and response of a data server connection at debug level, count those opened

Change: SPDLOG_LEVEL sets the log level; at debug a line for each query written to a data server (client's id, how long the connection was idle) and each response read (time after the query). Every 5 s the number of connections opened to data servers.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // The command line of the program.
+#include <spdlog/cfg/env.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -38,10 +39,12 @@
   sigset_t set_{};
 };
 
+// SPDLOG_LEVEL of the environment sets the level: "debug" adds a line for each query and response.
 void ConfigureLogging() {
   spdlog::set_default_logger(spdlog::stdout_logger_st("pooler"));
   spdlog::set_pattern("%Y-%m-%d %H:%M:%S.%e %L %v");
   spdlog::flush_on(spdlog::level::info);
+  spdlog::cfg::load_env_levels();
 }
 
 // Without a settings file all optional features are off.
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -165,6 +165,7 @@
       requests.received, requests.served, requests.rejected, requests.failed, requests.cancelled,
       requests.attempts, requests.health_checks, proxy.requests_in_flight(), budget_.clients(),
       budget_.backends(), pool_.idle());
+  spdlog::info("server connections: opened={}", pool_.counts().opened);
   const consistency::SessionConsistencyGuard& guard = proxy.consistency_guard();
   if (guard.scope() == consistency::Scope::kEverywhere) {
     const consistency::SessionConsistencyCounts& sessions = guard.counts();
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -214,6 +214,7 @@
   }
   if (!open) return false;
   ++server.opening;
+  ++counts_.opened;
   server.connections.push_back(std::move(connection));
   return true;
 }
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -28,6 +28,11 @@
   std::string database = "catalog";
 };
 
+// Totals since the start of the pool.
+struct ConnectionCounts {
+  std::uint64_t opened = 0;  // connections to data servers
+};
+
 class ServerConnection;
 struct ServerPool;
 
@@ -85,6 +90,7 @@
 
   // The number of idle connections to all data servers.
   std::size_t idle() const;
+  const ConnectionCounts& counts() const { return counts_; }
 
  private:
   friend class ServerConnection;
@@ -131,6 +137,7 @@
   std::map<ServerId, std::unique_ptr<ServerPool>> servers_;
   std::map<AttemptKey, std::shared_ptr<Attempt>> attempts_;
   std::map<ServerId, std::shared_ptr<Attempt>> health_checks_;
+  ConnectionCounts counts_;
   net::LogRateLimiter fault_log_limit_;
   net::Timer expiry_timer_;
 };
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -20,6 +20,13 @@
 // Log positions are Unix times, in milliseconds in the protocol and in microseconds in the pooler.
 LogPosition PositionFromUnixMs(std::int64_t ms) { return LogPosition(std::chrono::milliseconds(ms)); }
 
+// The id in the comment of a client's statement; empty for a health check.
+std::string ClientRequestId(std::string_view statement) {
+  std::string error;
+  const auto comment = pg::ReadComment(statement, error);
+  return comment ? std::string(comment->id) : std::string();
+}
+
 }  // namespace
 
 std::optional<LoadReport> ParseLoadReport(std::string_view text) {
@@ -166,12 +173,14 @@
   attempt_->send_timer.Cancel();
   response_ = ResponseReader();
   query_accepted_ = false;
-  std::string query;
   // The time budget in the query is the time that remains when it is written, not at the start of this loop
   // iteration.
-  pg::AppendQuery(query, attempt_->is_health_check()
-                             ? "SHOW pressure"
-                             : attempt_->statement->TextWithBudget(attempt_->deadline - now));
+  const std::string text = attempt_->is_health_check()
+                               ? "SHOW pressure"
+                               : attempt_->statement->TextWithBudget(attempt_->deadline - now);
+  if (spdlog::should_log(spdlog::level::debug)) LogQueryWritten(text, now);
+  std::string query;
+  pg::AppendQuery(query, text);
   // The ring buffer holds the largest statement, so only a broken connection rejects it.
   query_accepted_ = connection_->Write(query);
   if (!query_accepted_) return HandleConnectionLost();
@@ -182,6 +191,24 @@
   });
 }
 
+void ServerConnection::LogQueryWritten(std::string_view text, TimePoint now) const {
+  spdlog::debug(
+      "data server connection: query written; server={} descriptor={} request={} attempt={} id={} idle_us={}",
+      static_cast<std::uint32_t>(server_.id), connection_->descriptor(),
+      static_cast<std::uint32_t>(attempt_->request), attempt_->number, ClientRequestId(text),
+      (now - idle_since_).count());
+}
+
+void ServerConnection::LogResponse(const Attempt& attempt, const ResponseReader& response) const {
+  spdlog::debug(
+      "data server connection: response read; server={} descriptor={} request={} attempt={} after_us={} "
+      "sqlstate={}",
+      static_cast<std::uint32_t>(server_.id), connection_->descriptor(),
+      static_cast<std::uint32_t>(attempt.request), attempt.number,
+      (loop_.PreciseNow() - *attempt.sent_at).count(),
+      response.has_error() ? response.error()->code : "none");
+}
+
 void ServerConnection::OnReadable() {
   const auto self = shared_from_this();
   const auto connection = connection_;
@@ -243,6 +270,7 @@
   ServerPool& server = server_;
   ConnectionPool& pool = pool_;
   const auto self = shared_from_this();
+  if (attempt != nullptr && spdlog::should_log(spdlog::level::debug)) LogResponse(*attempt, response);
   const bool complete = attempt == nullptr || response.has_error() || response.complete();
   if (!complete) {
     pool.LogFault(server, "incomplete response");
--- a/src/upstream/server_connection.h
+++ b/src/upstream/server_connection.h
@@ -87,6 +87,9 @@
   void OnEndOfStream() override { HandleConnectionLost(); }
   void OnDisconnected() override { HandleConnectionLost(); }
   bool HandleMessage(char type, std::string_view body);
+  // Debug log lines, one for each query and each response.
+  void LogQueryWritten(std::string_view text, TimePoint now) const;
+  void LogResponse(const Attempt& attempt, const ResponseReader& response) const;
   // Called when the data server awaits the next query: after the startup and after each response.
   void HandleReadyForQuery();
   // Reports the outcome of an attempt whose response has ended. Static, since the connection may be closed.
