--- a/tests/pg/parsers_test.cpp
+++ b/tests/pg/parsers_test.cpp
@@ -6,7 +6,7 @@
 
 #include "pg/message.h"
 #include "pg/statement.h"
-#include "upstream/server_connection.h"
+#include "upstream/response_reader.h"
 
 namespace lynxgrade {
 using namespace std::string_literals;
