--- a/tests/replication/replication_deadlines_test.cpp
+++ b/tests/replication/replication_deadlines_test.cpp
@@ -9,7 +9,7 @@
 #include <random>
 
 #include "durability/write_ahead_log.h"
-#include "replication/event_loop_steps.h"
+#include "support/event_loop_steps.h"
 #include "replication/udp_replication_service.h"
 #include "support/simulated_fleet.h"
 
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -112,8 +112,15 @@
   return out;
 }
 
-// A data server that answers each query by `on_query`, and health checks by `load_report`. Keeps the queries
-// that it received, without health checks.
+inline std::string EmptyQueryResponse() {
+  std::string out;
+  pg::AppendEmptyQueryResponse(out);
+  pg::AppendReadyForQuery(out);
+  return out;
+}
+
+// A data server that answers each query by `on_query`, health checks by `load_report`, and empty queries by
+// `on_empty_query`. Keeps the queries that it received, without health checks and empty ones.
 struct DataServer {
   DataServer(net::Loop& loop, QueryHandler query_handler)
       : loop(loop),
@@ -128,6 +135,8 @@
     accepted->is_server = true;
     accepted->on_query = [this](TestConnection& connection, const std::string& text) {
       if (text == kStartup) return accepts_startup ? connection.Send(StartupResponse()) : void();
+      if (before_response) before_response(connection, text);
+      if (text.empty()) return on_empty_query(connection, text);
       if (text == "SHOW pressure") return connection.Send(RowResponse(load_report));
       queries.push_back(text);
       on_query(connection, text);
@@ -137,6 +146,10 @@
   }
   net::Loop& loop;
   QueryHandler on_query;
+  QueryHandler on_empty_query = [](TestConnection& connection, const std::string&) {
+    connection.Send(EmptyQueryResponse());
+  };
+  QueryHandler before_response;  // called with each query of any kind before its response is sent
   net::Listener listener;
   bool accepts_startup = true;  // if false, the test sends StartupResponse itself
   std::string load_report = "x1=0,x0=1";
