Free a data server connection only once an empty query behind the response is answered

Cause: a connection went back to use as soon as ReadyForQuery was read. What a data server sends beyond that response (a second copy) and what reached the pooler after the next query was written was read as the response to that query; from then on the connection was off by one. An error read so could prove that a statement has not run which did run. Ruled out: bytes overlooked before the write (HasNoUnreadInput and 'bytes after the end of the response' saw 770 of those), a mix-up of clients in proxy or frontend (each foreign value is the response before on the same connection). Change: behind each response, also of errors and health checks, the connection sends an empty query, which data servers answer at once (protocol page). It is idle once that is answered. Until then any other message closes it, with no attempt on it. A copy of the empty query's own response is told by its type and skipped. An attempt waits for such a connection before it opens another. A statement that is empty after its comment, whose response could not be told from that, gets 42601 in the frontend. Why it works: a data server sends what belongs to a response before it answers the next query, and TCP keeps the order.

--- a/src/frontend/client_session.cpp
+++ b/src/frontend/client_session.cpp
@@ -318,6 +318,7 @@
   const auto statement = ClientStatement::Parse(text, error);
   if (statement == nullptr) return SendError("42601", error);
   const pg::Comment& comment = statement->comment();
+  if (comment.statement_empty) return SendError("42601", "the statement is empty");
   if (comment.id.empty()) return SendError("22023", "the comment names no id");
   if (!comment.group) return SendError("22023", "the comment names no cluster");
   if (!comment.time_budget_ms || *comment.time_budget_ms > kMaxTimeBudgetMs) {
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -72,6 +72,7 @@
     }
   }
   const std::string_view rest = statement.substr(end + 2);
+  comment.statement_empty = rest.find_first_not_of(" \t\r\n;") == std::string_view::npos;
   const std::size_t quote = rest.find('\'');
   if (quote != std::string_view::npos) {
     const std::string_view quoted = rest.substr(quote + 1);
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -15,7 +15,8 @@
 // An idle connection is closed after this fraction of the server's idle timeout: a query that crosses the
 // server's close is lost to a reset, and whether it was executed is unknown.
 constexpr double kIdleTimeoutFraction = 0.7;
-// Preferred pause before a connection is reused: several times as long as a server's close takes to arrive.
+// Preferred pause before a connection is reused, in which a server's close and noise behind its last response
+// arrive.
 constexpr Duration kReusePause{5000};
 constexpr Duration kExpiryInterval{500000};
 
@@ -165,7 +166,8 @@
       SendOnIdleConnection(server);
       continue;
     }
-    if (server.opening >= std::min(kMaxOpening, server.waiting.size())) break;
+    const std::size_t expected = server.opening + server.awaiting_barrier.size();
+    if (server.opening >= kMaxOpening || expected >= server.waiting.size()) break;
     if (!OpenConnection(server)) {
       const std::shared_ptr<Attempt> attempt = server.waiting.front();
       FinishAttempt(attempt, budget_.CanAddBackend() ? Outcome::kUnreachable : Outcome::kNotRun);
@@ -175,8 +177,7 @@
 }
 
 ServerConnection* ConnectionPool::PopIdleConnection(ServerPool& server) {
-  // A data server may close a connection right after a response, and a query that crosses that close is lost
-  // to a reset.
+  // A query that crosses the close of its connection is lost to a reset, and one that crosses noise fails.
   const auto reusable =
       std::find_if(server.idle.rbegin(), server.idle.rend(), [this](const ServerConnection* candidate) {
         return loop_.Now() - candidate->idle_since() >= kReusePause;
@@ -225,8 +226,9 @@
       server.connections,
       [&](const std::shared_ptr<ServerConnection>& entry) { return entry.get() == &connection; });
   if (it == server.connections.end()) return;
-  if (!connection.ready()) --server.opening;
+  if (connection.opening()) --server.opening;
   std::erase(server.idle, &connection);
+  std::erase(server.awaiting_barrier, &connection);
   const std::shared_ptr<ServerConnection> keep_alive = *it;
   server.connections.erase(it);
   keep_alive->Close();
@@ -236,6 +238,8 @@
   ServerPool* server = FindServer(id);
   if (server == nullptr) return;
   while (!server->idle.empty()) CloseConnection(*server->idle.back());
+  if (!server->waiting.empty()) return;
+  while (!server->awaiting_barrier.empty()) CloseConnection(*server->awaiting_barrier.back());
 }
 
 void ConnectionPool::CloseAllIdle() {
@@ -244,11 +248,15 @@
 
 bool ConnectionPool::CloseLongestIdle() {
   ServerConnection* oldest = nullptr;
+  ServerConnection* unneeded = nullptr;
   for (auto& [id, server] : servers_) {
+    if (server->waiting.empty() && !server->awaiting_barrier.empty())
+      unneeded = server->awaiting_barrier.front();
     if (server->idle.empty()) continue;
     ServerConnection* first = server->idle.front();
     if (oldest == nullptr || first->idle_since() < oldest->idle_since()) oldest = first;
   }
+  if (oldest == nullptr) oldest = unneeded;
   if (oldest != nullptr) CloseConnection(*oldest);
   return oldest != nullptr;
 }
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -31,6 +31,8 @@
 // Totals since the start of the pool.
 struct ConnectionCounts {
   std::uint64_t opened = 0;  // connections to data servers
+  std::uint64_t barrier_queries = 0;
+  std::uint64_t barrier_failures = 0;  // connections that were lost or closed before the response
 };
 
 class ServerConnection;
@@ -76,7 +78,8 @@
   // last connection in use has ended.
   void RemoveServer(ServerId id);
   std::size_t servers() const { return servers_.size(); }
-  // Closes the connection that has been idle longest, to free its descriptor. Returns false if none is idle.
+  // Closes the connection that has been idle longest, to free its descriptor; else one that awaits its
+  // barrier while no attempt waits for it. Returns false if there is neither.
   bool CloseLongestIdle();
   void CloseAllIdle();
 
@@ -101,7 +104,8 @@
   void Enqueue(std::shared_ptr<Attempt> attempt);
   // Called at the write deadline: aborts an attempt whose last byte has not been written.
   void AbortIfNotWritten(const std::shared_ptr<Attempt>& attempt);
-  // Sends the waiting attempts on idle connections, and opens a connection for each one that remains.
+  // Sends the waiting attempts on idle connections, and opens a connection for each one that remains and has
+  // no connection that awaits its barrier.
   void AssignConnections(ServerPool& server);
   // Removes and returns an idle connection: the most recently used of those idle for kReusePause or longer,
   // else the most recently used of all. Less recently used ones are left to expire.
--- a/src/upstream/response_reader.cpp
+++ b/src/upstream/response_reader.cpp
@@ -58,19 +58,23 @@
 
 // A successful response consists of RowDescription, one DataRow and CommandComplete, in this order and each
 // well formed. An incomplete response must never be sent to a client as the result.
-ResponseReader::ReadResult ResponseReader::ReadMessage(char type, std::string_view body) {
+ReadResult ResponseReader::ReadMessage(char type, std::string_view body) {
   started_ = true;
   switch (type) {
     case 'S':  // ParameterStatus
       return HandleParameterStatus(body) ? ReadResult::kMore : ReadResult::kMalformed;
     case 'N':  // NoticeResponse
     case 'K':  // BackendKeyData
+      return ReadResult::kMore;
     case 'I':  // EmptyQueryResponse
+      if (description_ || error_ || empty_query_) return ReadResult::kMalformed;
+      empty_query_ = true;
       return ReadResult::kMore;
     case 'R':  // Authentication: only AuthenticationOk is valid, since no authentication is supported
       return body == std::string_view("\0\0\0\0", 4) ? ReadResult::kMore : ReadResult::kMalformed;
     case 'T':  // RowDescription
-      if (description_ || error_ || !pg::DescribesOneColumn(body)) return ReadResult::kMalformed;
+      if (description_ || error_ || empty_query_ || !pg::DescribesOneColumn(body))
+        return ReadResult::kMalformed;
       description_ = std::string(body);
       return ReadResult::kMore;
     case 'D': {  // DataRow
@@ -84,16 +88,24 @@
       tag_ = std::string(body);
       return ReadResult::kMore;
     case 'E':  // ErrorResponse
-      if (tag_ || error_) return ReadResult::kMalformed;
+      if (tag_ || error_ || empty_query_) return ReadResult::kMalformed;
       error_ = pg::ReadErrorFields(body);
       return error_ ? ReadResult::kMore : ReadResult::kMalformed;
-    case 'Z':  // ReadyForQuery: always idle, since the pooler opens no transactions
-      return body == "I" ? ReadResult::kReady : ReadResult::kMalformed;
+    case 'Z':  // ReadyForQuery
+      return HandleReadyForQuery(body);
     default:
       return ReadResult::kMalformed;
   }
 }
 
+// The state is always idle, since the pooler opens no transactions.
+ReadResult ResponseReader::HandleReadyForQuery(std::string_view body) {
+  if (body != "I") return ReadResult::kMalformed;
+  if (!empty_query_) return ReadResult::kReady;
+  *this = ResponseReader();
+  return ReadResult::kMore;
+}
+
 bool ResponseReader::statement_invalid() const {
   if (!error_) return false;
   const std::string_view code = error_->code;
@@ -121,4 +133,20 @@
   return {std::move(*description_), std::move(*row_), std::move(*tag_)};
 }
 
+ReadResult BarrierReader::ReadMessage(char type, std::string_view body) {
+  switch (type) {
+    case 'S':  // ParameterStatus
+    case 'N':  // NoticeResponse
+      return ReadResult::kMore;
+    case 'I':  // EmptyQueryResponse
+      if (empty_query_) return ReadResult::kMalformed;
+      empty_query_ = true;
+      return ReadResult::kMore;
+    case 'Z':  // ReadyForQuery
+      return empty_query_ && body == "I" ? ReadResult::kReady : ReadResult::kMalformed;
+    default:  // what belongs to the response before, or an error
+      return ReadResult::kMalformed;
+  }
+}
+
 }  // namespace lynxgrade::upstream
--- a/src/upstream/response_reader.h
+++ b/src/upstream/response_reader.h
@@ -1,4 +1,4 @@
-// The parser of a data server's responses.
+// The parsers of a data server's responses: to statements, and to the barrier query.
 #pragma once
 
 #include <optional>
@@ -10,14 +10,18 @@
 
 namespace lynxgrade::upstream {
 
+// kMore: the response continues; kReady: the data server awaits the next query; kMalformed: the message
+// cannot be parsed or is out of order, and the connection has to be closed.
+enum class ReadResult { kMore, kReady, kMalformed };
+
 // Assembles one response from protocol messages and derives the outcome of the attempt from it. Performs no
-// I/O.
+// I/O. A complete response to an empty query is skipped: no statement is empty, so this is a further copy of
+// the response to the barrier query before the statement.
 class ResponseReader {
  public:
-  enum class ReadResult { kMore, kReady, kMalformed };
+  using ReadResult = upstream::ReadResult;
 
-  // Consumes one message. kMore: the response continues; kReady: the data server awaits the next query;
-  // kMalformed: the message cannot be parsed or is out of order, and the connection has to be closed.
+  // Consumes one message.
   ReadResult ReadMessage(char type, std::string_view body);
   bool started() const { return started_; }
 
@@ -39,8 +43,10 @@
 
  private:
   bool HandleParameterStatus(std::string_view body);
+  ReadResult HandleReadyForQuery(std::string_view body);
 
   bool started_ = false;
+  bool empty_query_ = false;  // EmptyQueryResponse was read
   std::optional<std::string> description_;
   std::optional<std::string> row_;
   std::optional<std::string> tag_;
@@ -49,6 +55,17 @@
   std::optional<LoadReport> report_;
 };
 
+// Reads the response to the barrier query: the empty query that is sent after each response. A data server
+// sends what belongs to a response before it answers the next query, so once the barrier query has been
+// answered, nothing of the response before it can still arrive. Performs no I/O.
+class BarrierReader {
+ public:
+  ReadResult ReadMessage(char type, std::string_view body);
+
+ private:
+  bool empty_query_ = false;  // EmptyQueryResponse was read
+};
+
 // Parses a load report such as "x0=1767225600.123,x1=1,util=0.61". x0 is the log position as a Unix time in
 // seconds; x1 is 1 on a primary. Returns nothing if the text is malformed.
 std::optional<LoadReport> ParseLoadReport(std::string_view text);
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -7,7 +7,7 @@
 namespace lynxgrade::upstream {
 namespace {
 
-// From the first byte of a response to its last.
+// From the first byte of a response to its last, and from a barrier query to the end of its response.
 constexpr Duration kResponseCompletionTimeout{100000};
 
 // The id in the comment of a client's statement; empty for a health check.
@@ -53,6 +53,7 @@
 }
 
 void ServerConnection::SendQuery(std::shared_ptr<Attempt> attempt) {
+  state_ = State::kRunning;
   attempt_ = std::move(attempt);
   attempt_->connection = this;
   const TimePoint now = loop_.PreciseNow();
@@ -96,6 +97,12 @@
       response.has_error() ? response.error()->code : "none");
 }
 
+void ServerConnection::LogBarrier() const {
+  spdlog::debug("data server connection: barrier query answered; server={} descriptor={} after_us={}",
+                static_cast<std::uint32_t>(server_.id), connection_->descriptor(),
+                (loop_.PreciseNow() - idle_since_).count());
+}
+
 void ServerConnection::OnReadable() {
   const auto self = shared_from_this();
   const auto connection = connection_;
@@ -103,18 +110,20 @@
     const pg::Frame frame = pg::ReadFrame(connection->input().Linearize());
     if (frame.framing == pg::Framing::kPartial) break;
     if (frame.framing != pg::Framing::kComplete) return FailMalformed("invalid message framing");
-    const bool handled = HandleMessage(frame.type, frame.body);
-    if (!handled || connection->closed()) return;
+    const ReadResult result = ReadMessage(frame.type, frame.body);
+    if (result == ReadResult::kMalformed) return FailMalformed(MalformedCause());
     connection->input().Consume(frame.size);
-    if (frame.type == 'Z') HandleReadyForQuery();
+    if (result == ReadResult::kReady) HandleReadyForQuery();
   }
   if (connection->closed()) return;
   connection->ResumeReading();
   // A partial message that is left here would be parsed as the start of the next response.
-  if (idle() && !connection->input().empty()) return FailMalformed("unexpected bytes on an idle connection");
+  if (state_ == State::kIdle && !connection->input().empty())
+    return FailMalformed("unexpected bytes on an idle connection");
   // Data servers send a response at once. If a response stalls after its first byte, the attempt is failed
   // early so that there is time left for a retry.
-  const bool incomplete = !connection->input().empty() || (attempt_ != nullptr && response_.started());
+  const bool incomplete = !connection->input().empty() || state_ == State::kAwaitingBarrier ||
+                          (attempt_ != nullptr && response_.started());
   if (!incomplete) return stall_timer_.Cancel();
   if (!stall_timer_.armed())
     stall_timer_.ScheduleAfter(kResponseCompletionTimeout,
@@ -127,50 +136,105 @@
   if (!extended && !HasNoUnreadInput())
     return stall_timer_.ScheduleAfter(kResponseCompletionTimeout,
                                       [this] { HandleStalledResponse(/*extended=*/true); });
-  FailMalformed("response timed out after its first byte");
+  FailMalformed(state_ == State::kAwaitingBarrier ? "barrier query timed out"
+                                                  : "response timed out after its first byte");
 }
 
-bool ServerConnection::HandleMessage(char type, std::string_view body) {
-  // An unsolicited response must not add the connection to the idle ones a second time: two queries would
-  // then be sent on it at once. An unsolicited error announces that the server closes the connection.
-  if (idle() && type != 'S' && type != 'N') {
-    FailMalformed("unsolicited response");
-    return false;
+ReadResult ServerConnection::ReadMessage(char type, std::string_view body) {
+  switch (state_) {
+    case State::kIdle:
+      // ParameterStatus and NoticeResponse may come at any time. An error announces that the server closes
+      // the connection.
+      return type == 'S' || type == 'N' ? ReadResult::kMore : ReadResult::kMalformed;
+    case State::kAwaitingBarrier:
+      return barrier_.ReadMessage(type, body);
+    case State::kOpening:
+    case State::kRunning:
+      break;
   }
-  const ResponseReader::ReadResult result = response_.ReadMessage(type, body);
-  if (result == ResponseReader::ReadResult::kMalformed) {
-    FailMalformed("malformed response");
-    return false;
+  return response_.ReadMessage(type, body);
+}
+
+const char* ServerConnection::MalformedCause() const {
+  switch (state_) {
+    case State::kIdle:
+      return "unsolicited response";
+    case State::kAwaitingBarrier:
+      return "unexpected message before the end of the barrier query";
+    case State::kOpening:
+    case State::kRunning:
+      break;
   }
-  return true;
+  return "malformed response";
 }
 
 void ServerConnection::HandleReadyForQuery() {
+  switch (state_) {
+    case State::kOpening:
+      return HandleOpened();
+    case State::kRunning:
+      return HandleResponse();
+    case State::kAwaitingBarrier:
+      return HandleBarrierResponse();
+    case State::kIdle:
+      break;  // ReadMessage accepts no ReadyForQuery in this state
+  }
+}
+
+void ServerConnection::HandleOpened() {
   open_timer_.Cancel();
   idle_since_ = loop_.Now();
+  response_ = ResponseReader();
+  --server_.opening;
+  BecomeIdle();
+}
+
+// The attempt is finished before the barrier query is written, so that its client does not wait for that.
+void ServerConnection::HandleResponse() {
+  stall_timer_.Cancel();
+  idle_since_ = loop_.Now();
   const std::shared_ptr<Attempt> attempt = std::exchange(attempt_, nullptr);
-  if (!ready_) {
-    ready_ = true;
-    --server_.opening;
-  }
   ResponseReader response = std::exchange(response_, ResponseReader());
-  ServerPool& server = server_;
-  ConnectionPool& pool = pool_;
-  const auto self = shared_from_this();
-  if (attempt != nullptr && spdlog::should_log(spdlog::level::debug)) LogResponse(*attempt, response);
-  const bool complete = attempt == nullptr || response.has_error() || response.complete();
+  if (spdlog::should_log(spdlog::level::debug)) LogResponse(*attempt, response);
+  state_ = State::kAwaitingBarrier;
+  barrier_ = BarrierReader();
+  server_.awaiting_barrier.push_back(this);
+  const bool complete = response.has_error() || response.complete();
   if (!complete) {
-    pool.LogFault(server, "incomplete response");
-    pool.CloseConnection(*this);
-  } else if (connection_->input().empty()) {
-    server_.idle.push_back(this);
+    pool_.LogFault(server_, "incomplete response");
+    pool_.CloseConnection(*this);
   } else {
-    // The remaining bytes would be parsed as the response to the next query.
-    pool.LogFault(server, "bytes after the end of the response");
-    pool.CloseConnection(*this);
+    CloseOnFurtherInput();
   }
-  if (attempt != nullptr) FinishWithResponse(pool, server, attempt, std::move(response), complete);
-  pool.AssignConnections(server);
+  FinishWithResponse(pool_, server_, attempt, std::move(response), complete);
+  if (!connection_->closed()) SendBarrierQuery();
+  pool_.AssignConnections(server_);
+}
+
+void ServerConnection::HandleBarrierResponse() {
+  if (spdlog::should_log(spdlog::level::debug)) LogBarrier();
+  std::erase(server_.awaiting_barrier, this);
+  BecomeIdle();
+}
+
+bool ServerConnection::CloseOnFurtherInput() {
+  if (connection_->input().empty()) return false;
+  pool_.LogFault(server_, "bytes after the end of the response");
+  pool_.CloseConnection(*this);
+  return true;
+}
+
+void ServerConnection::BecomeIdle() {
+  state_ = State::kIdle;
+  if (!CloseOnFurtherInput()) server_.idle.push_back(this);
+  pool_.AssignConnections(server_);
+}
+
+void ServerConnection::SendBarrierQuery() {
+  ++pool_.counts_.barrier_queries;
+  std::string query;
+  pg::AppendQuery(query, "");
+  if (!connection_->Write(query)) HandleConnectionLost();
 }
 
 void ServerConnection::FinishWithResponse(ConnectionPool& pool, const ServerPool& server,
@@ -196,7 +260,8 @@
 void ServerConnection::HandleConnectionLost() {
   const auto self = shared_from_this();
   const std::shared_ptr<Attempt> attempt = attempt_;
-  const bool was_ready = ready_;
+  const State lost_state = state_;
+  if (lost_state == State::kAwaitingBarrier) ++pool_.counts_.barrier_failures;
   const bool all_written = AllWritten();
   ResponseReader response = std::exchange(response_, ResponseReader());
   pool_.CloseConnection(*this);
@@ -206,7 +271,7 @@
     if (outcome == Outcome::kOk) released = response.ReleaseResponse();
     pool_.FinishAttempt(attempt, outcome, response.metadata(), {}, std::move(released),
                         response.statement_invalid());
-  } else if (!was_ready && !server_.waiting.empty()) {
+  } else if (lost_state == State::kOpening && !server_.waiting.empty()) {
     // Each connection is opened for one of the waiting attempts; the first of them has waited longest.
     const std::shared_ptr<Attempt> first = server_.waiting.front();
     pool_.FinishAttempt(first, Outcome::kUnreachable);
--- a/src/upstream/server_connection.h
+++ b/src/upstream/server_connection.h
@@ -12,8 +12,11 @@
 
 namespace lynxgrade::upstream {
 
-// A connection to a data server, which runs one attempt at a time. Owned by the pool through a shared_ptr;
-// callbacks hold a reference of their own, because the pool may drop its reference during them.
+// A connection to a data server, which runs one attempt at a time. After each response it sends a barrier
+// query, and only the response to that makes it available to the next attempt: bytes that the data server
+// sent beyond the response could otherwise be read as the response to the next query. Owned by the pool
+// through a shared_ptr; callbacks hold a reference of their own, because the pool may drop its reference
+// during them.
 class ServerConnection final : public net::Connection::Owner,
                                public std::enable_shared_from_this<ServerConnection> {
  public:
@@ -28,8 +31,8 @@
   // Sends the query of an attempt. The connection has to be idle and without unread input.
   void SendQuery(std::shared_ptr<Attempt> attempt);
   ServerPool& server() { return server_; }
-  bool ready() const { return ready_; }
-  bool idle() const { return ready_ && attempt_ == nullptr; }
+  bool opening() const { return state_ == State::kOpening; }
+  // When the last response was read: the data server's idle timeout began no earlier.
   TimePoint idle_since() const { return idle_since_; }
   // Whether all input has been read. Unread input on an idle connection is most likely the server's close.
   bool HasNoUnreadInput() const { return !connection_->HasPendingInput(); }
@@ -38,16 +41,31 @@
   void Close();
 
  private:
+  enum class State {
+    kOpening,          // until the data server has answered the startup message
+    kIdle,             // available to an attempt
+    kRunning,          // an attempt's query was sent, and its response is not complete
+    kAwaitingBarrier,  // the response is complete, the barrier query is not answered
+  };
+
   void OnConnected() override;
   void OnReadable() override;
   void OnEndOfStream() override { HandleConnectionLost(); }
   void OnDisconnected() override { HandleConnectionLost(); }
-  bool HandleMessage(char type, std::string_view body);
-  // Debug log lines, one for each query and each response.
+  ReadResult ReadMessage(char type, std::string_view body);
+  // Debug log lines, one for each query, each response and each barrier query.
   void LogQueryWritten(std::string_view text, TimePoint now) const;
   void LogResponse(const Attempt& attempt, const ResponseReader& response) const;
-  // Called when the data server awaits the next query: after the startup and after each response.
+  void LogBarrier() const;
+  // Called when the data server awaits the next query: after the startup, a response, or the barrier query.
   void HandleReadyForQuery();
+  void HandleOpened();
+  void HandleResponse();
+  void HandleBarrierResponse();
+  // Closes the connection and returns true if the pooler has received bytes beyond the end of a response.
+  bool CloseOnFurtherInput();
+  void BecomeIdle();
+  void SendBarrierQuery();
   // Reports the outcome of an attempt whose response has ended. Static, since the connection may be closed.
   static void FinishWithResponse(ConnectionPool& pool, const ServerPool& server,
                                  const std::shared_ptr<Attempt>& attempt, ResponseReader response,
@@ -56,6 +74,8 @@
   void HandleConnectionLost();
   // `extended`: whether the time of the response has been extended before.
   void HandleStalledResponse(bool extended);
+  // The cause to be logged for a malformed message in the present state.
+  const char* MalformedCause() const;
   // Fails the attempt as an error of the data server, and closes the connection.
   void FailMalformed(const char* reason);
 
@@ -66,9 +86,10 @@
   std::shared_ptr<net::Connection> connection_;
   net::Timer open_timer_;
   net::Timer stall_timer_;
-  std::shared_ptr<Attempt> attempt_;
-  ResponseReader response_;
-  bool ready_ = false;
+  State state_ = State::kOpening;
+  std::shared_ptr<Attempt> attempt_;  // set exactly if kRunning
+  ResponseReader response_;           // to the startup message or to the attempt's query
+  BarrierReader barrier_;
   bool query_accepted_ = false;  // the connection accepted the query for writing
   TimePoint idle_since_{};
 };
@@ -78,7 +99,8 @@
   ServerId id{};
   std::optional<net::Address> address;
   std::list<std::shared_ptr<ServerConnection>> connections;
-  std::vector<ServerConnection*> idle;  // the most recently used at the end
+  std::vector<ServerConnection*> idle;              // the most recently used at the end
+  std::vector<ServerConnection*> awaiting_barrier;  // idle once their barrier query has been answered
   std::size_t opening = 0;
   std::deque<std::shared_ptr<Attempt>> waiting;
   bool assigning_connections = false;  // AssignConnections is running
--- a/testbed/data_servers.cpp
+++ b/testbed/data_servers.cpp
@@ -28,6 +28,13 @@
   pg::AppendCommandComplete(out, tag);
 }
 
+std::string EmptyQueryResponse() {
+  std::string out;
+  pg::AppendEmptyQueryResponse(out);
+  pg::AppendReadyForQuery(out);
+  return out;
+}
+
 // The quoted literals of a statement after its comment.
 std::vector<std::string> QuotedLiterals(std::string_view statement) {
   std::vector<std::string> literals;
@@ -83,6 +90,10 @@
     if (!text) return Close();
     const std::string query(*text);
     connection_->input().Consume(frame.size);
+    if (query.empty()) {  // gets its response at once
+      connection_->Write(EmptyQueryResponse());
+      return ProcessInput();
+    }
     busy_ = true;
     response_timer_.ScheduleAfter(servers_.work_time_, [this, query] {
       busy_ = false;
--- a/tests/pg/parsers_test.cpp
+++ b/tests/pg/parsers_test.cpp
@@ -110,6 +110,10 @@
   CHECK(comment->object_id == "k2");
   CHECK(comment->idempotency_key == "5c");
   CHECK(comment->is_retry);
+  CHECK_FALSE(comment->statement_empty);
+  for (const char* empty : {"/* id=9 */", "/* id=9 */ ;\r\n\t"}) {
+    CHECK(pg::ReadComment(empty, error)->statement_empty);
+  }
 }
 
 TEST_CASE("load reports") {
@@ -181,4 +185,46 @@
   }
 }
 
+TEST_CASE("responses of data servers: a copy of the response to an empty query is skipped") {
+  using upstream::ReadResult;
+  const std::string description = "\0\1d\0"s + std::string(18, '\0'), row = "\0\1\0\0\0\1a"s;
+  upstream::ResponseReader response;
+  for (int copy = 0; copy < 2; ++copy) {
+    CHECK(response.ReadMessage('I', "") == ReadResult::kMore);
+    CHECK(response.ReadMessage('S', "log_position\0007\0"s) == ReadResult::kMore);
+    CHECK(response.ReadMessage('Z', "I") == ReadResult::kMore);
+  }
+  CHECK_FALSE(response.started());
+  CHECK_FALSE(response.metadata().position.has_value());
+  for (const auto& [type, body] :
+       std::vector<std::pair<char, std::string>>{{'T', description}, {'D', row}, {'C', "SELECT 1\0"s}}) {
+    CHECK(response.ReadMessage(type, body) == ReadResult::kMore);
+  }
+  CHECK(response.ReadMessage('Z', "I") == ReadResult::kReady);
+  CHECK(response.value() == "a");
+  // It is skipped as a whole only.
+  for (const auto& [type, body] : std::vector<std::pair<char, std::string>>{
+           {'T', description}, {'E', "CXX000\0\0"s}, {'I', ""}, {'Z', "T"}}) {
+    upstream::ResponseReader partial;
+    REQUIRE(partial.ReadMessage('I', "") == ReadResult::kMore);
+    CHECK(partial.ReadMessage(type, body) == ReadResult::kMalformed);
+  }
+}
+
+TEST_CASE("responses of data servers: only that to an empty query completes the barrier") {
+  using upstream::ReadResult;
+  upstream::BarrierReader barrier;
+  CHECK(barrier.ReadMessage('S', "log_position\0007\0"s) == ReadResult::kMore);
+  CHECK(barrier.ReadMessage('I', "") == ReadResult::kMore);
+  CHECK(barrier.ReadMessage('N', "") == ReadResult::kMore);
+  CHECK(barrier.ReadMessage('Z', "I") == ReadResult::kReady);
+  for (const char type : {'T', 'D', 'C', 'E', 'Z', 'R', 'K', '?'}) {
+    CAPTURE(type);
+    CHECK(upstream::BarrierReader().ReadMessage(type, "I") == ReadResult::kMalformed);
+  }
+  upstream::BarrierReader twice;
+  REQUIRE(twice.ReadMessage('I', "") == ReadResult::kMore);
+  CHECK(twice.ReadMessage('I', "") == ReadResult::kMalformed);
+}
+
 }  // namespace lynxgrade
--- a/tests/proxy/pooler_test.cpp
+++ b/tests/proxy/pooler_test.cpp
@@ -206,6 +206,19 @@
   CHECK(attempts == 13);
 }
 
+// Guards against a request whose response cannot be told from that to an empty query of the pooler's own.
+TEST_CASE("a statement that is empty after its comment is rejected, and not sent to a data server") {
+  SimulatedFleet fleet;
+  DataServer& server = fleet.AddServer(kEchoValue);
+  fleet.ApplyEndpointList();
+  std::string empty = RequestText("any");
+  empty.resize(empty.find("*/") + 2);
+  TestConnection& client = fleet.ConnectClient({empty, empty + " ;\n", RequestText("any")});
+  fleet.RunUntil([&] { return client.MessageTypes().ends_with("EZEZTDCZ"); });
+  CHECK(client.CountOf("42601") == 2);
+  CHECK(server.queries.size() == 1);
+}
+
 // A data server may close a connection right after a response. A query that crosses that close is lost to a
 // reset.
 TEST_CASE("a connection that has just delivered a response is not reused if another one is idle") {
--- a/tests/proxy/shutdown_test.cpp
+++ b/tests/proxy/shutdown_test.cpp
@@ -472,7 +472,10 @@
         peers.push_back(std::make_unique<TestConnection>());
         TestConnection& peer = *peers.back();
         peer.is_server = true;
-        peer.on_query = [&](TestConnection&, const std::string& text) { queries.push_back(text); };
+        peer.on_query = [&](TestConnection& connection, const std::string& text) {
+          if (text.empty()) return connection.Send(EmptyQueryResponse());
+          queries.push_back(text);
+        };
         peer.connection = Connection::Adopt(loop, std::move(socket), peer, 65536, 65536);
       });
   REQUIRE(listener.Open({"127.0.0.1", 0}));
@@ -492,6 +495,7 @@
   peers[0]->Send(RowResponse("v"));
   run_until([&] { return recorder.attempts.size() == 2; });
   CHECK(recorder.attempts[1].outcome == Outcome::kOk);
+  run_until([&] { return pool.idle() == 1; });
   pool.StartAttempt(RequestId(3), 1, ServerId(1), statement, {Duration(4000000), Duration(0)});
   run_until([&] { return recorder.attempts.size() == 3; });
   CHECK(recorder.attempts[2].outcome == Outcome::kUnreachable);
--- a/tests/replication/replication_deadlines_test.cpp
+++ b/tests/replication/replication_deadlines_test.cpp
@@ -9,8 +9,8 @@
 #include <random>
 
 #include "durability/write_ahead_log.h"
-#include "support/event_loop_steps.h"
 #include "replication/udp_replication_service.h"
+#include "support/event_loop_steps.h"
 #include "support/simulated_fleet.h"
 
 namespace lynxgrade {
