Use connections again whose data server rejects the empty query as a statement

Cause: the barrier closed each connection whose data server answers an empty query with an error. Change: an error that rejects the statement (08P01, 42, 22, 0A) and differs from the error of the response before answers the barrier query as well. A later copy of exactly that error is skipped, as a copy of EmptyQueryResponse is. A statement that gets the very same error runs into its timeout there: it may have run, which is the safe side. Other errors close as before.

--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -166,8 +166,9 @@
       requests.attempts, requests.health_checks, proxy.requests_in_flight(), budget_.clients(),
       budget_.backends(), pool_.idle());
   const upstream::ConnectionCounts& connections = pool_.counts();
-  spdlog::info("server connections: opened={} barrier_queries={} barrier_failures={}", connections.opened,
-               connections.barrier_queries, connections.barrier_failures);
+  spdlog::info("server connections: opened={} barrier_queries={} barrier_rejections={} barrier_failures={}",
+               connections.opened, connections.barrier_queries, connections.barrier_rejections,
+               connections.barrier_failures);
   const consistency::SessionConsistencyGuard& guard = proxy.consistency_guard();
   if (guard.scope() == consistency::Scope::kEverywhere) {
     const consistency::SessionConsistencyCounts& sessions = guard.counts();
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -32,7 +32,8 @@
 struct ConnectionCounts {
   std::uint64_t opened = 0;  // connections to data servers
   std::uint64_t barrier_queries = 0;
-  std::uint64_t barrier_failures = 0;  // connections that were lost or closed before the response
+  std::uint64_t barrier_rejections = 0;  // answered by an error that rejects empty queries
+  std::uint64_t barrier_failures = 0;    // connections that were lost or closed before the response
 };
 
 class ServerConnection;
--- a/src/upstream/response_reader.cpp
+++ b/src/upstream/response_reader.cpp
@@ -16,6 +16,11 @@
 // Log positions are Unix times, in milliseconds in the protocol and in microseconds in the pooler.
 LogPosition PositionFromUnixMs(std::int64_t ms) { return LogPosition(std::chrono::milliseconds(ms)); }
 
+// Whether a data server that fails with this SQLSTATE has rejected the statement itself.
+bool IsInvalidStatement(std::string_view code) {
+  return code == "08P01" || code.starts_with("42") || code.starts_with("22") || code.starts_with("0A");
+}
+
 }  // namespace
 
 std::optional<LoadReport> ParseLoadReport(std::string_view text) {
@@ -67,13 +72,11 @@
     case 'K':  // BackendKeyData
       return ReadResult::kMore;
     case 'I':  // EmptyQueryResponse
-      if (description_ || error_ || empty_query_) return ReadResult::kMalformed;
-      empty_query_ = true;
-      return ReadResult::kMore;
+      return HandleBarrierCopy();
     case 'R':  // Authentication: only AuthenticationOk is valid, since no authentication is supported
       return body == std::string_view("\0\0\0\0", 4) ? ReadResult::kMore : ReadResult::kMalformed;
     case 'T':  // RowDescription
-      if (description_ || error_ || empty_query_ || !pg::DescribesOneColumn(body))
+      if (description_ || error_ || is_barrier_copy_ || !pg::DescribesOneColumn(body))
         return ReadResult::kMalformed;
       description_ = std::string(body);
       return ReadResult::kMore;
@@ -88,9 +91,7 @@
       tag_ = std::string(body);
       return ReadResult::kMore;
     case 'E':  // ErrorResponse
-      if (tag_ || error_ || empty_query_) return ReadResult::kMalformed;
-      error_ = pg::ReadErrorFields(body);
-      return error_ ? ReadResult::kMore : ReadResult::kMalformed;
+      return HandleError(body);
     case 'Z':  // ReadyForQuery
       return HandleReadyForQuery(body);
     default:
@@ -98,19 +99,29 @@
   }
 }
 
+ReadResult ResponseReader::HandleError(std::string_view body) {
+  if (tag_ || error_ || is_barrier_copy_) return ReadResult::kMalformed;
+  if (!description_ && !barrier_error_.empty() && body == barrier_error_) return HandleBarrierCopy();
+  error_ = pg::ReadErrorFields(body);
+  error_body_ = std::string(body);
+  return error_ ? ReadResult::kMore : ReadResult::kMalformed;
+}
+
+ReadResult ResponseReader::HandleBarrierCopy() {
+  if (description_ || error_ || is_barrier_copy_) return ReadResult::kMalformed;
+  is_barrier_copy_ = true;
+  return ReadResult::kMore;
+}
+
 // The state is always idle, since the pooler opens no transactions.
 ReadResult ResponseReader::HandleReadyForQuery(std::string_view body) {
   if (body != "I") return ReadResult::kMalformed;
-  if (!empty_query_) return ReadResult::kReady;
-  *this = ResponseReader();
+  if (!is_barrier_copy_) return ReadResult::kReady;
+  *this = ResponseReader(std::move(barrier_error_));
   return ReadResult::kMore;
 }
 
-bool ResponseReader::statement_invalid() const {
-  if (!error_) return false;
-  const std::string_view code = error_->code;
-  return code == "08P01" || code.starts_with("42") || code.starts_with("22") || code.starts_with("0A");
-}
+bool ResponseReader::statement_invalid() const { return error_ && IsInvalidStatement(error_->code); }
 
 Outcome ResponseReader::OutcomeAtEnd(bool all_written) const {
   if (error_) {
@@ -133,18 +144,28 @@
   return {std::move(*description_), std::move(*row_), std::move(*tag_)};
 }
 
+bool BarrierReader::IsRejection(std::string_view error_body) const {
+  const auto error = pg::ReadErrorFields(error_body);
+  return error && error_body != error_before_ && IsInvalidStatement(error->code);
+}
+
 ReadResult BarrierReader::ReadMessage(char type, std::string_view body) {
   switch (type) {
     case 'S':  // ParameterStatus
     case 'N':  // NoticeResponse
       return ReadResult::kMore;
     case 'I':  // EmptyQueryResponse
-      if (empty_query_) return ReadResult::kMalformed;
-      empty_query_ = true;
+      if (answered_) return ReadResult::kMalformed;
+      answered_ = true;
+      return ReadResult::kMore;
+    case 'E':  // ErrorResponse
+      if (answered_ || !IsRejection(body)) return ReadResult::kMalformed;
+      answered_ = true;
+      error_body_ = std::string(body);
       return ReadResult::kMore;
     case 'Z':  // ReadyForQuery
-      return empty_query_ && body == "I" ? ReadResult::kReady : ReadResult::kMalformed;
-    default:  // what belongs to the response before, or an error
+      return answered_ && body == "I" ? ReadResult::kReady : ReadResult::kMalformed;
+    default:  // what belongs to the response before
       return ReadResult::kMalformed;
   }
 }
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -59,7 +59,7 @@
   const TimePoint now = loop_.PreciseNow();
   attempt_->sent_at = now;
   attempt_->send_timer.Cancel();
-  response_ = ResponseReader();
+  response_ = ResponseReader(barrier_error_);
   query_accepted_ = false;
   // The time budget in the query is the time that remains when it is written, not at the start of this loop
   // iteration.
@@ -197,7 +197,7 @@
   ResponseReader response = std::exchange(response_, ResponseReader());
   if (spdlog::should_log(spdlog::level::debug)) LogResponse(*attempt, response);
   state_ = State::kAwaitingBarrier;
-  barrier_ = BarrierReader();
+  barrier_ = BarrierReader(response.error_body());
   server_.awaiting_barrier.push_back(this);
   const bool complete = response.has_error() || response.complete();
   if (!complete) {
@@ -214,6 +214,8 @@
 void ServerConnection::HandleBarrierResponse() {
   if (spdlog::should_log(spdlog::level::debug)) LogBarrier();
   std::erase(server_.awaiting_barrier, this);
+  barrier_error_ = barrier_.error_body();
+  if (!barrier_error_.empty()) ++pool_.counts_.barrier_rejections;
   BecomeIdle();
 }
 
--- a/src/upstream/server_connection.h
+++ b/src/upstream/server_connection.h
@@ -90,6 +90,7 @@
   std::shared_ptr<Attempt> attempt_;  // set exactly if kRunning
   ResponseReader response_;           // to the startup message or to the attempt's query
   BarrierReader barrier_;
+  std::string barrier_error_;    // with which the data server rejected the last barrier query; or empty
   bool query_accepted_ = false;  // the connection accepted the query for writing
   TimePoint idle_since_{};
 };
--- a/tests/pg/parsers_test.cpp
+++ b/tests/pg/parsers_test.cpp
@@ -222,6 +222,20 @@
     CAPTURE(type);
     CHECK(upstream::BarrierReader().ReadMessage(type, "I") == ReadResult::kMalformed);
   }
+  // An error answers it only if it rejects the statement and is not that of the response before.
+  const std::string invalid = "C08P01\0Mno\0\0"s, overloaded = "C53300\0\0"s;
+  upstream::BarrierReader rejected;
+  CHECK(rejected.ReadMessage('E', invalid) == ReadResult::kMore);
+  CHECK(rejected.ReadMessage('Z', "I") == ReadResult::kReady);
+  CHECK(rejected.error_body() == invalid);
+  CHECK(upstream::BarrierReader().ReadMessage('E', overloaded) == ReadResult::kMalformed);
+  CHECK(upstream::BarrierReader(invalid).ReadMessage('E', invalid) == ReadResult::kMalformed);
+  upstream::ResponseReader response(invalid);
+  CHECK(response.ReadMessage('E', invalid) == ReadResult::kMore);
+  CHECK(response.ReadMessage('Z', "I") == ReadResult::kMore);
+  CHECK(response.ReadMessage('E', overloaded) == ReadResult::kMore);
+  CHECK(response.ReadMessage('Z', "I") == ReadResult::kReady);
+  CHECK(response.OutcomeAtEnd(true) == Outcome::kOverloaded);
   upstream::BarrierReader twice;
   REQUIRE(twice.ReadMessage('I', "") == ReadResult::kMore);
   CHECK(twice.ReadMessage('I', "") == ReadResult::kMalformed);
