Let attempts wait 100 ms for a barrier, and close its connection at the connect timeout

What callers would see: behind a link with a round trip over 100 ms each statement opened a connection, as the barrier query timed out before its answer could come. Cause: the barrier had the time for the rest of a response, which is counted from its first byte, not from a query. Change: after 40 % of the connect timeout (100 of 250 ms) no attempt waits for the connection any longer and another one is opened; it is closed at the connect timeout, in which a new connection would have to come up as well.

--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -7,8 +7,11 @@
 namespace lynxgrade::upstream {
 namespace {
 
-// From the first byte of a response to its last, and from a barrier query to the end of its response.
+// From the first byte of a response to its last.
 constexpr Duration kResponseCompletionTimeout{100000};
+// For this part of the connect timeout attempts wait for a connection that awaits its barrier; then another
+// one is opened for them, with the rest of the time.
+constexpr double kBarrierPatienceFraction = 0.4;
 
 // The id in the comment of a client's statement; empty for a health check.
 std::string ClientRequestId(std::string_view statement) {
@@ -26,6 +29,7 @@
       server_(server),
       slot_(budget.backends()),
       open_timer_(loop),
+      barrier_timer_(loop),
       stall_timer_(loop) {}
 
 ServerConnection::~ServerConnection() { Close(); }
@@ -41,6 +45,7 @@
 
 void ServerConnection::Close() {
   open_timer_.Cancel();
+  barrier_timer_.Cancel();
   stall_timer_.Cancel();
   attempt_.reset();
   if (connection_ != nullptr) connection_->Close();
@@ -122,8 +127,7 @@
     return FailMalformed("unexpected bytes on an idle connection");
   // Data servers send a response at once. If a response stalls after its first byte, the attempt is failed
   // early so that there is time left for a retry.
-  const bool incomplete = !connection->input().empty() || state_ == State::kAwaitingBarrier ||
-                          (attempt_ != nullptr && response_.started());
+  const bool incomplete = !connection->input().empty() || (attempt_ != nullptr && response_.started());
   if (!incomplete) return stall_timer_.Cancel();
   if (!stall_timer_.armed())
     stall_timer_.ScheduleAfter(kResponseCompletionTimeout,
@@ -136,8 +140,7 @@
   if (!extended && !HasNoUnreadInput())
     return stall_timer_.ScheduleAfter(kResponseCompletionTimeout,
                                       [this] { HandleStalledResponse(/*extended=*/true); });
-  FailMalformed(state_ == State::kAwaitingBarrier ? "barrier query timed out"
-                                                  : "response timed out after its first byte");
+  FailMalformed("response timed out after its first byte");
 }
 
 ReadResult ServerConnection::ReadMessage(char type, std::string_view body) {
@@ -191,7 +194,6 @@
 
 // The attempt is finished before the barrier query is written, so that its client does not wait for that.
 void ServerConnection::HandleResponse() {
-  stall_timer_.Cancel();
   idle_since_ = loop_.Now();
   const std::shared_ptr<Attempt> attempt = std::exchange(attempt_, nullptr);
   ResponseReader response = std::exchange(response_, ResponseReader());
@@ -213,6 +215,7 @@
 
 void ServerConnection::HandleBarrierResponse() {
   if (spdlog::should_log(spdlog::level::debug)) LogBarrier();
+  barrier_timer_.Cancel();
   std::erase(server_.awaiting_barrier, this);
   barrier_error_ = barrier_.error_body();
   if (!barrier_error_.empty()) ++pool_.counts_.barrier_rejections;
@@ -236,7 +239,16 @@
   ++pool_.counts_.barrier_queries;
   std::string query;
   pg::AppendQuery(query, "");
-  if (!connection_->Write(query)) HandleConnectionLost();
+  if (!connection_->Write(query)) return HandleConnectionLost();
+  const Duration timeout = pool_.settings_.connect_timeout;
+  const auto patience = std::chrono::duration_cast<Duration>(timeout * kBarrierPatienceFraction);
+  barrier_timer_.ScheduleAfter(patience, [this, rest = timeout - patience] { HandleLateBarrier(rest); });
+}
+
+void ServerConnection::HandleLateBarrier(Duration rest) {
+  std::erase(server_.awaiting_barrier, this);
+  barrier_timer_.ScheduleAfter(rest, [this] { FailMalformed("barrier query timed out"); });
+  pool_.AssignConnections(server_);
 }
 
 void ServerConnection::FinishWithResponse(ConnectionPool& pool, const ServerPool& server,
--- a/src/upstream/server_connection.h
+++ b/src/upstream/server_connection.h
@@ -66,6 +66,9 @@
   bool CloseOnFurtherInput();
   void BecomeIdle();
   void SendBarrierQuery();
+  // Lets no attempt wait for this connection any longer. It is closed after `rest`, unless the barrier query
+  // is answered by then.
+  void HandleLateBarrier(Duration rest);
   // Reports the outcome of an attempt whose response has ended. Static, since the connection may be closed.
   static void FinishWithResponse(ConnectionPool& pool, const ServerPool& server,
                                  const std::shared_ptr<Attempt>& attempt, ResponseReader response,
@@ -85,6 +88,7 @@
   net::DescriptorSlot slot_;
   std::shared_ptr<net::Connection> connection_;
   net::Timer open_timer_;
+  net::Timer barrier_timer_;
   net::Timer stall_timer_;
   State state_ = State::kOpening;
   std::shared_ptr<Attempt> attempt_;  // set exactly if kRunning
@@ -100,8 +104,9 @@
   ServerId id{};
   std::optional<net::Address> address;
   std::list<std::shared_ptr<ServerConnection>> connections;
-  std::vector<ServerConnection*> idle;              // the most recently used at the end
-  std::vector<ServerConnection*> awaiting_barrier;  // idle once their barrier query has been answered
+  std::vector<ServerConnection*> idle;  // the most recently used at the end
+  std::vector<ServerConnection*>
+      awaiting_barrier;  // about to be idle: their barrier query is not answered yet
   std::size_t opening = 0;
   std::deque<std::shared_ptr<Attempt>> waiting;
   bool assigning_connections = false;  // AssignConnections is running
--- a/tests/upstream/connection_reuse_test.cpp
+++ b/tests/upstream/connection_reuse_test.cpp
@@ -11,7 +11,20 @@
 namespace lynxgrade {
 namespace {
 
-constexpr int kAttemptTimeoutMs = 2000;
+constexpr int kAttemptTimeoutMs = 60000;  // longer than any test
+
+// Limits that no test reaches, however slow the machine is.
+upstream::PoolSettings PatientSettings() {
+  upstream::PoolSettings settings;
+  settings.connect_timeout = 30000 * kMs;
+  return settings;
+}
+
+upstream::PoolSettings SettingsWithConnectTimeout(int ms) {
+  upstream::PoolSettings settings;
+  settings.connect_timeout = ms * kMs;
+  return settings;
+}
 
 struct FixedStatement final : proxy::Statement {
   explicit FixedStatement(std::string statement) : text(std::move(statement)) {}
@@ -76,10 +89,22 @@
   connection.Send(RowResponse(text));
 };
 
+// Runs attempts one after the other: each gets its own response, and all use the same connection.
+void CheckServedOnOneConnection(PoolFixture& fixture) {
+  for (int number = 1; number <= 20; ++number) {
+    CAPTURE(number);
+    const proxy::AttemptResult& result = RunAttempt(fixture, number);
+    CHECK(result.outcome == Outcome::kOk);
+    CHECK(ValueOf(result) == Statement(number));
+    RunLoopUntil([&] { return fixture.pool.idle() == 1; }, fixture.loop);
+  }
+  CHECK(fixture.server.connections.size() == 1);
+}
+
 // Guards against serving a client with the response to another client's request: a copy of a response that
 // arrived after its connection had been used again was read as the response to the next query.
 TEST_CASE("a copy of a response that arrives late is not the response to the next attempt") {
-  PoolFixture fixture;
+  PoolFixture fixture(PatientSettings());
   fixture.server.on_query = kRepeatStatement;
   const LateExtraBytes copies(fixture.server, [](const std::string& query, int) {
     return IsStatement(query) ? RowResponse(query) : "";
@@ -97,7 +122,7 @@
 TEST_CASE("a copy of an error that arrives late is not the outcome of the next attempt") {
   for (const char* code : {"25006", "72000", "53300", "42601", "XX000"}) {
     CAPTURE(code);
-    PoolFixture fixture;
+    PoolFixture fixture(PatientSettings());
     fixture.server.on_query = [&](TestConnection& connection, const std::string& text) {
       connection.Send(text == Statement(1) ? ErrorResponse(code) : RowResponse(text));
     };
@@ -114,7 +139,7 @@
 
 // Guards against serving a load report as a client's value, and against judging a server by a client's value.
 TEST_CASE("late copies are not exchanged between health checks and attempts") {
-  PoolFixture fixture;
+  PoolFixture fixture(PatientSettings());
   fixture.server.on_query = kRepeatStatement;
   const LateExtraBytes copies(fixture.server, [&](const std::string& query, int) {
     if (query == "SHOW pressure") return RowResponse(fixture.server.load_report);
@@ -135,7 +160,7 @@
 TEST_CASE("noise that arrives late does not fail the next attempt") {
   for (const std::string& noise : {"\x7fnoise\n"s, "Z"s, "T\0\0\0\x20"s, "D\xb2\xd0\x5e\0"s}) {
     CAPTURE(noise);
-    PoolFixture fixture;
+    PoolFixture fixture(PatientSettings());
     fixture.server.on_query = kRepeatStatement;
     const LateExtraBytes extra(
         fixture.server, [&](const std::string& query, int) { return IsStatement(query) ? noise : ""; });
@@ -149,25 +174,18 @@
 
 // Guards against losing requests or connections to copies of the barrier's own response.
 TEST_CASE("a copy of the response to the empty query neither fails the next attempt nor its connection") {
-  PoolFixture fixture;
+  PoolFixture fixture(PatientSettings());
   fixture.server.on_query = kRepeatStatement;
   const LateExtraBytes copies(fixture.server, [](const std::string& query, int) {
     return query.empty() ? EmptyQueryResponse() : "";
   });
-  for (int number = 1; number <= 20; ++number) {
-    CAPTURE(number);
-    const proxy::AttemptResult& result = RunAttempt(fixture, number);
-    CHECK(result.outcome == Outcome::kOk);
-    CHECK(ValueOf(result) == Statement(number));
-    RunLoopUntil([&] { return fixture.pool.idle() == 1; }, fixture.loop);
-  }
-  CHECK(fixture.server.connections.size() == 1);
+  CheckServedOnOneConnection(fixture);
 }
 
 // Guards against one connection for each statement where a data server rejects empty queries, and against
 // taking that rejection for the outcome of a statement.
 TEST_CASE("a data server that rejects empty queries serves on the same connection, also with late copies") {
-  PoolFixture fixture;
+  PoolFixture fixture(PatientSettings());
   fixture.server.on_query = kRepeatStatement;
   fixture.server.on_empty_query = [](TestConnection& connection, const std::string&) {
     connection.Send(ErrorResponse("08P01"));
@@ -175,19 +193,12 @@
   const LateExtraBytes copies(fixture.server, [](const std::string& query, int) {
     return query.empty() ? ErrorResponse("08P01") : "";
   });
-  for (int number = 1; number <= 20; ++number) {
-    CAPTURE(number);
-    const proxy::AttemptResult& result = RunAttempt(fixture, number);
-    CHECK(result.outcome == Outcome::kOk);
-    CHECK(ValueOf(result) == Statement(number));
-    RunLoopUntil([&] { return fixture.pool.idle() == 1; }, fixture.loop);
-  }
-  CHECK(fixture.server.connections.size() == 1);
+  CheckServedOnOneConnection(fixture);
 }
 
 // Guards against taking the copy of an invalid statement's error for the rejection of the empty query.
 TEST_CASE("a late copy of an error does not pass for the rejection of an empty query") {
-  PoolFixture fixture;
+  PoolFixture fixture(PatientSettings());
   fixture.server.on_query = [](TestConnection& connection, const std::string& text) {
     connection.Send(text == Statement(1) ? ErrorResponse("08P01") : RowResponse(text));
   };
@@ -208,7 +219,7 @@
 
 // Guards against reusing a connection on the strength of elapsed time.
 TEST_CASE("no statement is written on a connection before its empty query has been answered") {
-  PoolFixture fixture;
+  PoolFixture fixture(PatientSettings());
   std::vector<TestConnection*> unanswered;
   fixture.server.on_query = kRepeatStatement;
   fixture.server.on_empty_query = [&](TestConnection& connection, const std::string&) {
@@ -239,7 +250,7 @@
                {"the beginning of the response alone", EmptyQueryResponse().substr(0, 5)}};
   for (const auto& c : cases) {
     CAPTURE(c.what);
-    PoolFixture fixture;
+    PoolFixture fixture(SettingsWithConnectTimeout(1000));
     fixture.server.on_query = kRepeatStatement;
     fixture.server.on_empty_query = [&](TestConnection& connection, const std::string&) {
       connection.Send(c.response);
@@ -255,9 +266,75 @@
   }
 }
 
+// Guards against one connection for each statement on a slow link, and against attempts that wait for that
+// link.
+TEST_CASE(
+    "an empty query answered late delays the attempts for a while only, and frees its connection then") {
+  PoolFixture fixture(SettingsWithConnectTimeout(5000));
+  TestConnection* unanswered = nullptr;
+  fixture.server.on_query = kRepeatStatement;
+  fixture.server.on_empty_query = [&](TestConnection& connection, const std::string&) {
+    if (unanswered != nullptr) return connection.Send(EmptyQueryResponse());
+    unanswered = &connection;
+  };
+  RunAttempt(fixture, 1);
+  CHECK(ValueOf(RunAttempt(fixture, 2)) == Statement(2));
+  CHECK(fixture.server.connections.size() == 2);
+  REQUIRE(unanswered != nullptr);
+  unanswered->Send(EmptyQueryResponse());
+  RunLoopUntil([&] { return fixture.pool.idle() == 2; }, fixture.loop);
+}
+
+// Guards against the exchange where the process stood still while the copy and the answer came.
+TEST_CASE("a copy that arrives while the loop is blocked is not the response to the next attempt") {
+  PoolFixture fixture(SettingsWithConnectTimeout(2000));
+  fixture.server.on_query = kRepeatStatement;
+  const LateExtraBytes copies(fixture.server, [](const std::string& query, int) {
+    return IsStatement(query) ? RowResponse(query) : "";
+  });
+  for (int number = 1; number <= 3; ++number) {
+    RunAttempt(fixture, number);
+    BlockThread(1000);  // longer than attempts wait for a barrier
+    CHECK(ValueOf(fixture.attempt_results.back()) == Statement(number));
+  }
+}
+
+// Guards against giving the next attempt the response to one that has ended without it.
+TEST_CASE("the response to a cancelled or timed out attempt is not the response to the next one") {
+  for (const bool cancelled : {true, false}) {
+    CAPTURE(cancelled);
+    PoolFixture fixture(PatientSettings());
+    TestConnection* first = nullptr;
+    fixture.server.on_query = [&](TestConnection& connection, const std::string& text) {
+      if (text != Statement(1)) return connection.Send(RowResponse(text));
+      first = &connection;
+    };
+    fixture.statement = std::make_shared<FixedStatement>(Statement(1));
+    fixture.Send(cancelled ? kAttemptTimeoutMs : 300);
+    RunLoopUntil([&] { return first != nullptr; }, fixture.loop);
+    if (cancelled) fixture.pool.CancelAttempt(RequestId(1), 0);
+    RunLoopUntil([&] { return fixture.attempt_results.size() == 1; }, fixture.loop);
+    first->Send(RowResponse(Statement(1)));
+    CHECK(ValueOf(RunAttempt(fixture, 2)) == Statement(2));
+  }
+}
+
+// Guards against the exchange on the first use of a connection.
+TEST_CASE("a copy of the response to the startup is not the response to the first attempt") {
+  PoolFixture fixture(PatientSettings());
+  fixture.server.on_query = [](TestConnection& connection, const std::string& text) {
+    connection.Send(StartupResponse() + RowResponse(text));
+  };
+  for (int number = 1; number <= 3; ++number) {
+    const proxy::AttemptResult& result = RunAttempt(fixture, number);
+    CHECK(result.outcome == Outcome::kError);  // it may have run
+  }
+  CHECK(fixture.server.connections.size() == 3);
+}
+
 // Guards against losing a statement to a data server that closes its connection right after a response.
 TEST_CASE("a data server that closes the connection right after each response fails no attempt") {
-  PoolFixture fixture;
+  PoolFixture fixture(PatientSettings());
   fixture.server.on_query = kRepeatStatement;
   fixture.server.on_empty_query = [](TestConnection& connection, const std::string&) {
     connection.connection->Close();  // before it has read the empty query, as far as the pooler can tell
@@ -271,7 +348,7 @@
 
 // Guards against running out of descriptors while connections wait for the response to their empty query.
 TEST_CASE("a connection that waits for its empty query may be closed, unless an attempt waits for it") {
-  PoolFixture fixture;
+  PoolFixture fixture(SettingsWithConnectTimeout(2000));
   fixture.server.on_query = kRepeatStatement;
   fixture.server.on_empty_query = kNoResponse;
   RunAttempt(fixture, 1);
@@ -331,7 +408,7 @@
   for (const std::uint64_t seed : {1, 2, 3, 4}) {
     CAPTURE(seed);
     const bool rejects_empty_queries = seed % 2 == 0;
-    PoolFixture fixture;
+    PoolFixture fixture(PatientSettings());
     JitteryLink link(fixture.loop, seed);
     // Every fifth statement is rejected as misrouted.
     const auto is_misrouted = [](const std::string& text) { return std::stoi(text.substr(10)) % 5 == 0; };
