Send no statement on a connection whose startup the data server rejected

What callers would see: a second copy of that error (53300 for one) read as the outcome of the first statement, which ran: a write sent again elsewhere. Cause: an error followed by ReadyForQuery in the startup made the connection idle like any other end of the startup. Change: such a connection is closed; the attempt that waited for it could not connect, and nothing has run.

--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -185,6 +185,8 @@
 }
 
 void ServerConnection::HandleOpened() {
+  // A copy of that error could be read as the outcome of the first statement.
+  if (response_.has_error()) return FailMalformed("startup rejected");
   open_timer_.Cancel();
   idle_since_ = loop_.Now();
   response_ = ResponseReader();
--- a/tests/upstream/connection_reuse_test.cpp
+++ b/tests/upstream/connection_reuse_test.cpp
@@ -319,6 +319,23 @@
   }
 }
 
+// Guards against an error of the startup that is read as the outcome of the first statement, which does run.
+TEST_CASE("a connection whose startup is rejected runs no attempt") {
+  PoolFixture fixture(PatientSettings());
+  fixture.server.accepts_startup = false;
+  fixture.server.on_query = kRepeatStatement;
+  StartAttempt(fixture, 1);
+  RunLoopUntil(
+      [&] {
+        return fixture.server.connections.size() == 1 && fixture.server.connections[0]->startup_received;
+      },
+      fixture.loop);
+  fixture.server.connections[0]->Send(ErrorResponse("53300"));
+  RunLoopUntil([&] { return fixture.attempt_results.size() == 1; }, fixture.loop);
+  CHECK(fixture.attempt_results[0].outcome == Outcome::kUnreachable);
+  CHECK(fixture.server.queries.empty());
+}
+
 // Guards against the exchange on the first use of a connection.
 TEST_CASE("a copy of the response to the startup is not the response to the first attempt") {
   PoolFixture fixture(PatientSettings());
