Reject statements of nothing but comments, as those that are empty

Cause: a data server answers a statement of comments with EmptyQueryResponse, which the pooler skips as a copy of the barrier's answer: the client had its error only when its time was up, later than the 3 s that bad clients are owed. Change: white space, semicolons, -- and nested /* */ comments behind the request's comment count as empty: 42601 at once.

--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -1,5 +1,6 @@
 #include "pg/statement.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -20,6 +21,35 @@
   return Trimmed(item);
 }
 
+// The size of the comment at the beginning of `text`, to the end of the text if it does not end; zero if
+// there is none. Comments in /* */ may be nested.
+std::size_t LeadingCommentSize(std::string_view text) {
+  if (text.starts_with("--")) return std::min(text.find('\n'), text.size());
+  if (!text.starts_with("/*")) return 0;
+  int depth = 0;
+  std::size_t at = 0;
+  while (at < text.size()) {
+    const std::string_view pair = text.substr(at, 2);
+    if (pair == "/*") ++depth;
+    if (pair == "*/") --depth;
+    at += pair == "/*" || pair == "*/" ? 2 : 1;
+    if (depth == 0) return at;
+  }
+  return text.size();
+}
+
+// Whether the text holds nothing but white space, semicolons and comments.
+bool IsEmptyStatement(std::string_view text) {
+  while (true) {
+    const std::size_t from = text.find_first_not_of(" \t\r\n\f\v;");
+    if (from == std::string_view::npos) return true;
+    text.remove_prefix(from);
+    const std::size_t comment_size = LeadingCommentSize(text);
+    if (comment_size == 0) return false;
+    text.remove_prefix(comment_size);
+  }
+}
+
 }  // namespace
 
 std::optional<std::int64_t> ParseInteger(std::string_view text) {
@@ -72,7 +102,7 @@
     }
   }
   const std::string_view rest = statement.substr(end + 2);
-  comment.statement_empty = rest.find_first_not_of(" \t\r\n;") == std::string_view::npos;
+  comment.statement_empty = IsEmptyStatement(rest);
   const std::size_t quote = rest.find('\'');
   if (quote != std::string_view::npos) {
     const std::string_view quoted = rest.substr(quote + 1);
--- a/src/pg/statement.h
+++ b/src/pg/statement.h
@@ -24,8 +24,8 @@
   bool is_retry = false;               // r
   std::size_t time_budget_offset = 0;  // of the digits of d in the statement
   std::size_t time_budget_size = 0;
-  // Whether nothing but spaces and semicolons follows the comment: a data server would answer with
-  // EmptyQueryResponse.
+  // Whether only white space, semicolons and further comments follow the comment: a data server would answer
+  // with EmptyQueryResponse.
   bool statement_empty = false;
 };
 
--- a/tests/pg/parsers_test.cpp
+++ b/tests/pg/parsers_test.cpp
@@ -111,8 +111,14 @@
   CHECK(comment->idempotency_key == "5c");
   CHECK(comment->is_retry);
   CHECK_FALSE(comment->statement_empty);
-  for (const char* empty : {"/* id=9 */", "/* id=9 */ ;\r\n\t"}) {
-    CHECK(pg::ReadComment(empty, error)->statement_empty);
+  for (const char* empty :
+       {"", " ;\r\n\t\f\v", "-- x", "-- x\n;/* y */", "/* a /* b */ c */", "/* no end", "/*"}) {
+    CAPTURE(empty);
+    CHECK(pg::ReadComment("/* id=9 */"s + empty, error)->statement_empty);
+  }
+  for (const char* statement : {"x", ";x", "-- x\nx", "/* a /* b */ c */x", "/* a */-", "/", "'/*'"}) {
+    CAPTURE(statement);
+    CHECK_FALSE(pg::ReadComment("/* id=9 */"s + statement, error)->statement_empty);
   }
 }
 
