Show that the older process of one name answers writes that own-reads then miss

Cause: with marks = each nothing asks whether a later process of the same name is running, and the newer process counts what it hears of the older one without covering its writes.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
-for case in restarts bounded; do
-  c++ -std=c++20 -O1 -Wall -Wextra -o "build/review-2/$case" "review/stand_ins_2/$case.cpp" review/stand_ins_2/stage.cpp
+for case in restarts duplicate bounded; do
+  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -o "build/review-2/$case" "review/stand_ins_2/$case.cpp" review/stand_ins_2/stage.cpp
 done
--- a/review/stand_ins_2/stage.cpp
+++ b/review/stand_ins_2/stage.cpp
@@ -278,10 +278,14 @@
   fd_ = -1;
 }
 
-int FreePort() {
-  Listener listener;
-  if (!listener.Open(0, [](const std::shared_ptr<Conn>&) {})) return 0;
-  return listener.port();
+int FreePort(Kind kind) {
+  const int fd = socket(AF_INET, (kind == Kind::kUdp ? SOCK_DGRAM : SOCK_STREAM) | SOCK_CLOEXEC, 0);
+  sockaddr_in address = Loopback(0);
+  socklen_t size = sizeof address;
+  const bool bound = fd >= 0 && bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+                     getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+  if (fd >= 0) close(fd);
+  return bound ? ntohs(address.sin_port) : 0;
 }
 
 // ---- Groups of data servers ---------------------------------------------------------------------------
--- a/review/stand_ins_2/stage.h
+++ b/review/stand_ins_2/stage.h
@@ -91,7 +91,8 @@
   int port_ = 0;
 };
 
-int FreePort();
+enum class Kind { kTcp, kUdp };
+int FreePort(Kind kind = Kind::kTcp);
 
 // ---- Groups of data servers ---------------------------------------------------------------------------
 
