Reserve the ports of the review's poolers, and wait only for one that runs

Cause: two plays side by side took one port; the stand-in then took the other play's pooler for its own. Change: a chosen TCP port stays bound until the play ends, and a pooler that has ended is not waited for.

--- a/review/stand_ins_2/bounded.cpp
+++ b/review/stand_ins_2/bounded.cpp
@@ -48,7 +48,7 @@
   int Run() {
     Pooler pooler("n1", config_, "");
     pooler.Start();
-    if (!AwaitReady(port_, 15 * kSecond)) {
+    if (!AwaitReady(pooler, port_, 15 * kSecond)) {
       Record("cannot run: the pooler is not ready");
       return 2;
     }
--- a/review/stand_ins_2/duplicate.cpp
+++ b/review/stand_ins_2/duplicate.cpp
@@ -55,9 +55,10 @@
     for (std::size_t i = 0; i < kPoolers; ++i) {
       if (i == 2) TheLoop().RunFor(1 * kSecond);
       poolers_[i]->Start();
-      if (i != 0 && !AwaitReady(ports_[i], 20 * kSecond)) return CannotRun("a pooler is not ready");
+      if (i != 0 && !AwaitReady(*poolers_[i], ports_[i], 20 * kSecond))
+        return CannotRun("a pooler is not ready");
     }
-    if (!AwaitReady(ports_[0], 20 * kSecond)) return CannotRun("a pooler is not ready");
+    if (!AwaitReady(*poolers_[0], ports_[0], 20 * kSecond)) return CannotRun("a pooler is not ready");
     if (Trouble()) {
       const auto told = [this] {
         return poolers_[0]->log().find("duplicate instance name") != std::string::npos;
--- a/review/stand_ins_2/restarts.cpp
+++ b/review/stand_ins_2/restarts.cpp
@@ -128,14 +128,14 @@
   pooler.Signal(signal);
   if (!pooler.AwaitEnd(10 * kSecond)) return false;
   pooler.Start(full_disk);
-  return AwaitReady(port, 15 * kSecond);
+  return AwaitReady(pooler, port, 15 * kSecond);
 }
 
 int SecondStart() {
   Site site;
   Pooler pooler("n1", site.config, site.settings);
   pooler.Start();
-  if (!AwaitReady(site.port, 15 * kSecond)) return CannotRun("the pooler is not ready");
+  if (!AwaitReady(pooler, site.port, 15 * kSecond)) return CannotRun("the pooler is not ready");
   if (!site.WriteAll()) return CannotRun("a write was not served");
   TheLoop().RunFor(500 * kMs);
   if (Trouble()) {
@@ -156,7 +156,7 @@
   Site site;
   Pooler pooler("n1", site.config, site.settings);
   pooler.Start();
-  if (!AwaitReady(site.port, 15 * kSecond)) return CannotRun("the pooler is not ready");
+  if (!AwaitReady(pooler, site.port, 15 * kSecond)) return CannotRun("the pooler is not ready");
   if (!site.WriteAll()) return CannotRun("a write was not served");
   TheLoop().RunFor(500 * kMs);
   if (!Restart(pooler, site.port, SIGTERM, Trouble())) return CannotRun("not ready after its restart");
@@ -172,7 +172,7 @@
   Site site;
   Pooler pooler("n1", site.config, site.settings);
   pooler.Start();
-  if (!AwaitReady(site.port, 15 * kSecond)) return CannotRun("the pooler is not ready");
+  if (!AwaitReady(pooler, site.port, 15 * kSecond)) return CannotRun("the pooler is not ready");
   if (!site.WriteAll()) return CannotRun("a write was not served");
   TheLoop().RunFor(500 * kMs);
   if (Trouble()) {
@@ -223,7 +223,7 @@
   for (std::size_t i = 0; i < site.group.size(); ++i) site.group.server(i).ship = 13 * kMs;
   Pooler pooler("n1", site.config, site.settings);
   pooler.Start();
-  if (!AwaitReady(site.port, 15 * kSecond)) return CannotRun("the pooler is not ready");
+  if (!AwaitReady(pooler, site.port, 15 * kSecond)) return CannotRun("the pooler is not ready");
   if (!site.WriteAll()) return CannotRun("a write was not served");
   const Background background(site.port);
   TheLoop().RunFor(3 * kSecond);
--- a/review/stand_ins_2/stage.cpp
+++ b/review/stand_ins_2/stage.cpp
@@ -280,11 +280,13 @@
 
 int FreePort(Kind kind) {
   const int fd = socket(AF_INET, (kind == Kind::kUdp ? SOCK_DGRAM : SOCK_STREAM) | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  if (kind == Kind::kTcp) setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   sockaddr_in address = Loopback(0);
   socklen_t size = sizeof address;
   const bool bound = fd >= 0 && bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
                      getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
-  if (fd >= 0) close(fd);
+  if (fd >= 0 && kind == Kind::kUdp) close(fd);
   return bound ? ntohs(address.sin_port) : 0;
 }
 
@@ -702,9 +704,9 @@
          object + "', '" + std::to_string(version) + "') RETURNING body";
 }
 
-bool AwaitReady(int port, Us limit) {
+bool AwaitReady(Pooler& pooler, int port, Us limit) {
   const Us end = Now() + limit;
-  while (Now() < end) {
+  while (Now() < end && pooler.running()) {
     const Outcome outcome = SendAndWait({"", "", port, kSecond});
     if (outcome.answer == Answer::kServed) return true;
     TheLoop().RunFor(10 * kMs);
--- a/review/stand_ins_2/stage.h
+++ b/review/stand_ins_2/stage.h
@@ -92,6 +92,7 @@
 };
 
 enum class Kind { kTcp, kUdp };
+// A TCP port stays reserved for a process that binds it with SO_REUSEADDR.
 int FreePort(Kind kind = Kind::kTcp);
 
 // ---- Groups of data servers ---------------------------------------------------------------------------
@@ -278,8 +279,8 @@
   std::string partial_;
 };
 
-// Whether the pooler at the port answers an empty query within the time.
-bool AwaitReady(int port, Us limit);
+// Whether the pooler, which listens at the port, answers an empty query within the time.
+bool AwaitReady(Pooler& pooler, int port, Us limit);
 
 // ---- Configuration ------------------------------------------------------------------------------------
 
