Bound what requests and responses hold in memory, by limits.memory_mb

Callers saw a pooler killed for memory. Cause: limits.memory_mb was never read; each connection's buffers were bounded (256 KiB a direction, 16 KiB at rest), their sum was not: 738 clients x 256 KiB = 185 MB. Change: limits::MemoryBudget counts all buffers and the texts of statements over 2 KiB. When it is used up, the message that has been incomplete longest is discarded as it arrives and rejected with 53300 at its end, then a client that has not read its response for 0.25 s is closed; a complete statement without memory is rejected unsent, input behind a request in flight (16 KiB at most) and responses of data servers wait in the kernel. A line of the log reports the budget every 5 s.

--- a/src/frontend/client_session.cpp
+++ b/src/frontend/client_session.cpp
@@ -22,6 +22,12 @@
 // Input that is read and discarded while a session closes. If a client sends more, the connection is closed
 // at once, and the reset stops the client.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{256} * 1024;
+// Input that is buffered while a request is in flight; what exceeds it waits in the kernel.
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} * 1024;
+// A statement up to this size needs no memory of the budget.
+constexpr std::size_t kSmallStatementBytes = 2048;
+// A statement is held as text, and once more by a connection whose data server does not read it at once.
+constexpr std::size_t kStatementCopies = 2;
 // No attempt may start later than 0.1 s after its client has disconnected. One interval takes less than half
 // of that, which leaves time for the reset that reveals the disconnect.
 constexpr Duration kPresenceCheckInterval{40000};
@@ -54,7 +60,7 @@
 
 }  // namespace
 
-std::shared_ptr<const ClientStatement> ClientStatement::Parse(std::string_view text, std::string& error) {
+std::shared_ptr<ClientStatement> ClientStatement::Parse(std::string_view text, std::string& error) {
   auto statement = std::make_shared<ClientStatement>();
   statement->text_ = std::string(text);
   const auto comment = pg::ReadComment(statement->text_, error);
@@ -75,7 +81,7 @@
 
 void ClientSession::Start(net::ObjectPtr<GSocket> socket, TimePoint queued_since) {
   connection_ = net::Connection::Adopt(frontend_.loop_, std::move(socket), *this, pg::kMaxBufferBytes,
-                                       pg::kMaxBufferBytes);
+                                       pg::kMaxBufferBytes, &frontend_.memory_);
   connection_->RecordArrivalTimes(queued_since);
 }
 
@@ -94,7 +100,7 @@
 
 void ClientSession::Expire() {
   if (phase_ == Phase::kClosing || phase_ == Phase::kSendingResponse) return Close();
-  if (connection_->input().empty()) {
+  if (connection_->input().empty() && !IsDiscarding()) {
     // Input that has arrived is processed in this loop iteration or the next and receives a response instead
     // of a close. An incomplete message, on the other hand, has timed out even if more of it arrives.
     return connection_->HasPendingInput() ? frontend_.MoveToPhase(*this, *phase_, frontend_.loop_.Now())
@@ -145,11 +151,13 @@
     return Close();
   }
   UpdatePhase();
-  if (connection->input().free_space() > 0 && connection->reading_paused()) {
+  connection->input().SetLimit(state_ == State::kInFlight ? kMaxPipelinedBytes : pg::kMaxBufferBytes);
+  const bool has_room = connection->input().free_space() > 0 && !connection->input().starved();
+  if (has_room && connection->reading_paused()) {
     reading_resumed_at_ = frontend_.loop_.Now();
     connection->ResumeReading();
   }
-  const bool client_unobserved = connection->end_of_stream() || connection->input().free_space() == 0;
+  const bool client_unobserved = connection->end_of_stream() || !has_room;
   if (state_ == State::kInFlight && client_unobserved && !presence_timer_.armed()) {
     presence_timer_.ScheduleAfter(kPresenceCheckInterval, [this] { CheckClientPresence(); });
   }
@@ -175,6 +183,8 @@
   resume_timer_.Cancel();
   for (int processed = 0; !connection_->closed() && connection_->all_written(); ++processed) {
     if (state_ == State::kInFlight || state_ == State::kClosing || connection_->input().empty()) return;
+    if (IsDiscarding() && !DiscardInput()) return;
+    if (connection_->input().empty()) return;
     if (processed == kMaxMessagesPerIteration)
       return resume_timer_.ScheduleAfter(Duration{0}, [this] { ProcessInput(); });
     if (!(state_ == State::kStartup ? HandleStartup() : HandleMessage())) return;
@@ -190,11 +200,13 @@
     phase = Phase::kInFlight;
   } else if (!connection_->all_written()) {
     phase = Phase::kSendingResponse;
-  } else if (state_ == State::kStartup || !connection_->input().empty()) {
+  } else if (state_ == State::kStartup || IsDiscarding() || !connection_->input().empty()) {
     phase = Phase::kAwaitingInput;
   }
   const TimePoint now = frontend_.loop_.Now();
-  if (phase == Phase::kAwaitingInput && state_ != State::kStartup) {
+  if (phase == Phase::kAwaitingInput && IsDiscarding()) {
+    if (phase != phase_) frontend_.MoveToPhase(*this, phase, discard_message_since_);
+  } else if (phase == Phase::kAwaitingInput && state_ != State::kStartup) {
     // The first byte may have arrived while the previous request was in flight. The time during which reading
     // was paused does not count.
     const TimePoint message_started_at = std::max(connection_->ArrivalTime(0), reading_resumed_at_);
@@ -214,9 +226,52 @@
   CheckClientPresence();
 }
 
+// While a request is in flight or a response is not sent, the client's further input can wait in the kernel.
+bool ClientSession::OnInputStarved() {
+  if (state_ == State::kInFlight || state_ == State::kClosing || !connection_->all_written()) return false;
+  return frontend_.ReclaimMemory(this);
+}
+
+bool ClientSession::DiscardIncompleteMessage() {
+  if (processing_ || state_ != State::kReady || IsDiscarding() || !connection_->all_written()) return false;
+  if (!connection_->input().holds_large_block()) return false;
+  const pg::Frame frame = pg::ReadFrame(connection_->input().Linearize());
+  if (frame.framing != pg::Framing::kPartial || frame.announced_size == 0) return false;
+  StartDiscarding(frame.announced_size);
+  ProcessInput();
+  return true;
+}
+
+void ClientSession::StartDiscarding(std::size_t message_size) {
+  discard_remaining_ = message_size;
+  discard_message_since_ = std::max(connection_->ArrivalTime(0), reading_resumed_at_);
+  ++frontend_.memory_counts_.discarded_messages;
+}
+
+bool ClientSession::DiscardInput() {
+  const std::size_t count = std::min(discard_remaining_, connection_->input().size());
+  connection_->Consume(count);
+  discard_remaining_ -= count;
+  if (discard_remaining_ > 0) return false;
+  SendRejection("too little memory to receive this message", frontend_.memory_retry_after_);
+  return true;
+}
+
+std::optional<limits::MemoryReservation> ClientSession::ReserveForStatement(std::string_view text) {
+  if (text.size() <= kSmallStatementBytes) return limits::MemoryReservation();
+  const std::size_t bytes = text.size() * kStatementCopies;
+  while (!frontend_.memory_.TryReserve(bytes, limits::MemoryUse::kRequest)) {
+    if (!frontend_.ReclaimMemory(this)) return std::nullopt;
+  }
+  return limits::MemoryReservation(frontend_.memory_, bytes);
+}
+
 bool ClientSession::HandleStartup() {
   const pg::Frame frame = pg::ReadStartupFrame(connection_->input().Linearize());
-  if (frame.framing == pg::Framing::kPartial) return false;
+  if (frame.framing == pg::Framing::kPartial) {
+    if (connection_->input().starved()) FailConnection("53300", "too little memory for this startup packet");
+    return false;
+  }
   if (frame.framing != pg::Framing::kComplete) {
     FailConnection("08P01", "invalid length of startup packet");
     return false;
@@ -262,7 +317,9 @@
   const pg::Frame frame = pg::ReadFrame(connection_->input().Linearize());
   switch (frame.framing) {
     case pg::Framing::kPartial:
-      return false;
+      if (!connection_->input().starved()) return false;
+      StartDiscarding(frame.announced_size);
+      return DiscardInput();
     case pg::Framing::kTooLong:
       FailConnection("08P01", "a message is longer than any that is taken here");
       return false;
@@ -338,6 +395,12 @@
   std::string id(comment.id);
   if (frontend_.client_request_ids_.contains(id))
     return SendError("22023", "a request of this id is open already");
+  auto memory = ReserveForStatement(text);
+  if (!memory) {
+    ++frontend_.memory_counts_.rejected_requests;
+    return SendRejection("too little memory for this statement", frontend_.memory_retry_after_);
+  }
+  statement->HoldMemory(std::move(*memory));
   proxy::Request request;
   request.event.group = GroupId(*comment.group);
   request.event.request_class = *cls;
@@ -375,8 +438,12 @@
 
 // The SQLSTATE tells the client that a retry is safe; the detail is the Retry-After in milliseconds.
 void ClientSession::OnRejected(Duration retry_after) {
+  SendRejection("too much to do to answer in time", retry_after);
+}
+
+void ClientSession::SendRejection(std::string_view message, Duration retry_after) {
   const std::int64_t ms = (retry_after.count() + 999) / 1000;
-  SendError("53300", "too much to do to answer in time", ms > 0 ? std::to_string(ms) : std::string());
+  SendError("53300", message, ms > 0 ? std::to_string(ms) : std::string());
 }
 
 void ClientSession::OnFailed() {
--- a/src/frontend/client_session.h
+++ b/src/frontend/client_session.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "limits/memory_budget.h"
 #include "net/connection.h"
 #include "net/descriptor_budget.h"
 #include "net/loop.h"
@@ -20,13 +21,16 @@
 class ClientStatement final : public proxy::Statement {
  public:
   // Returns null, with the reason in `error`, if the statement has no well-formed comment.
-  static std::shared_ptr<const ClientStatement> Parse(std::string_view text, std::string& error);
+  static std::shared_ptr<ClientStatement> Parse(std::string_view text, std::string& error);
+  // Keeps the memory reserved as long as the statement exists.
+  void HoldMemory(limits::MemoryReservation memory) { memory_ = std::move(memory); }
   std::string TextWithBudget(Duration remaining) const override;
   const pg::Comment& comment() const { return comment_; }
 
  private:
   std::string text_;
   pg::Comment comment_;
+  limits::MemoryReservation memory_;
 };
 
 class Frontend;
@@ -53,7 +57,14 @@
   // input would reset the connection, and the client could lose the last response.
   void CloseGracefully();
   // Whether all input has been read and processed.
-  bool HasNoUnreadInput() const { return connection_->input().empty() && !connection_->HasPendingInput(); }
+  bool HasNoUnreadInput() const {
+    return connection_->input().empty() && !IsDiscarding() && !connection_->HasPendingInput();
+  }
+  // Frees the memory of a message that is incomplete: its bytes are discarded as they arrive, and it is
+  // rejected at its end. Returns false if the session holds no such memory.
+  bool DiscardIncompleteMessage();
+  // Whether output that the client has not read holds memory.
+  bool HoldsUnsentOutput() const { return !connection_->closed() && !connection_->all_written(); }
   // Handles a CancelRequest that was received on another connection at `arrived_at`.
   void Cancel(std::uint32_t secret, TimePoint arrived_at);
   // Aborts the request in flight shortly before the process exits.
@@ -69,6 +80,7 @@
   enum class State { kStartup, kReady, kInFlight, kClosing };
 
   void OnReadable() override { ProcessInput(); }
+  bool OnInputStarved() override;
   void OnOutputFlushed() override;
   void OnEndOfStream() override;
   void OnDisconnected() override { Close(); }
@@ -84,12 +96,20 @@
   void CheckClientPresence();
   void ProcessMessages();
   void UpdatePhase();
+  bool IsDiscarding() const { return discard_remaining_ > 0; }
+  void StartDiscarding(std::size_t message_size);
+  // Discards input of the message that is being discarded, and rejects it once it has ended. Returns whether
+  // the next message may follow.
+  bool DiscardInput();
+  // Reserves memory for a statement. Returns nothing if there is none.
+  std::optional<limits::MemoryReservation> ReserveForStatement(std::string_view text);
   bool HandleStartup();
   bool HandleMessage();
   void HandleQuery(std::string_view text);
   void HandleRequest(std::string_view text);
   void Write(std::string_view bytes);
   void SendResponse(std::string& bytes);
+  void SendRejection(std::string_view message, Duration retry_after);
   void SendError(std::string_view code, std::string_view message, std::string_view detail = {});
   void FailConnection(std::string_view code, std::string_view message);
 
@@ -107,6 +127,8 @@
   TimePoint accept_cancels_from_{};  // an earlier CancelRequest refers to an earlier request
   std::string client_request_id_;    // the client's id of the request in flight
   std::size_t discarded_bytes_ = 0;
+  std::size_t discard_remaining_ = 0;  // bytes to come of a message that is discarded
+  TimePoint discard_message_since_{};  // when its first byte arrived
   net::Timer resume_timer_;
   net::Timer presence_timer_;
   // Maintained by the frontend.
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -14,7 +14,9 @@
 // within 3 s; the timeout and the sweep interval together are well below that.
 constexpr Duration kInputTimeout{2000000};
 constexpr Duration kWriteTimeout{10000000};  // for a client to read its response
-constexpr Duration kCloseTimeout{500000};    // for a client to read the final error and close
+// The same where the memory is needed. Above the time in which a client that reads gets a whole response.
+constexpr Duration kWriteTimeoutWithoutMemory{250000};
+constexpr Duration kCloseTimeout{500000};  // for a client to read the final error and close
 // Input that a client sent immediately after connecting has been read after this time. Until then its session
 // is not closed to free a descriptor.
 constexpr Duration kAcceptGrace{100000};
@@ -48,11 +50,15 @@
 }  // namespace
 
 Frontend::Frontend(net::Loop& loop, proxy::Proxy& proxy, net::DescriptorBudget& budget,
-                   std::vector<std::string> classes, std::vector<std::string> tenants,
-                   const Settings& settings, std::function<bool()> close_idle_server_connection)
+                   limits::MemoryBudget& memory, std::vector<std::string> classes,
+                   std::vector<std::string> tenants, const Settings& settings,
+                   std::function<bool()> close_idle_server_connection)
     : loop_(loop),
       proxy_(proxy),
       budget_(budget),
+      memory_(memory),
+      memory_retry_after_(
+          limits::RetryAfterMemoryShortage(settings.clients_honor_retry_after, settings.max_retry_after)),
       class_names_(std::move(classes)),
       tenant_names_(std::move(tenants)),
       request_classes_(settings.classes),
@@ -66,9 +72,10 @@
       drain_timer_(loop),
       abort_timer_(loop) {
   sweep_timer_.ScheduleAfter(kSweepInterval, [this] { CloseExpired(); });
+  memory_.SetReclaimer([this] { return ReclaimMemory(nullptr); });
 }
 
-Frontend::~Frontend() = default;
+Frontend::~Frontend() { memory_.SetReclaimer(nullptr); }
 
 bool Frontend::MayAccept() {
   return budget_.CanAddClient() || CloseLeastActive() ||
@@ -125,6 +132,33 @@
   return false;
 }
 
+bool Frontend::ReclaimMemory(const ClientSession* requester) {
+  return DiscardOldestMessage(requester) || CloseOldestUnreadResponse(requester);
+}
+
+bool Frontend::DiscardOldestMessage(const ClientSession* requester) {
+  for (ClientSession* session :
+       sessions_by_phase_[static_cast<std::size_t>(ClientSession::Phase::kAwaitingInput)]) {
+    if (session == requester) continue;
+    const auto keep_alive = sessions_.at(session);
+    if (keep_alive->DiscardIncompleteMessage()) return true;
+  }
+  return false;
+}
+
+bool Frontend::CloseOldestUnreadResponse(const ClientSession* requester) {
+  for (ClientSession* session :
+       sessions_by_phase_[static_cast<std::size_t>(ClientSession::Phase::kSendingResponse)]) {
+    if (session == requester || !session->HoldsUnsentOutput()) continue;
+    if (loop_.Now() - session->phase_since_ < kWriteTimeoutWithoutMemory) return false;
+    const auto keep_alive = sessions_.at(session);
+    keep_alive->Close();
+    ++memory_counts_.closed_clients;
+    return true;
+  }
+  return false;
+}
+
 std::uint32_t Frontend::AssignProcessId(ClientSession& session) {
   do {
     ++last_process_id_;
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "frontend/client_session.h"
+#include "limits/memory_budget.h"
 #include "net/descriptor_budget.h"
 #include "net/listener.h"
 #include "net/log_limit.h"
@@ -19,12 +20,19 @@
 
 namespace lynxgrade::frontend {
 
+// What was given up for lack of memory. Totals since the start.
+struct MemoryCounts {
+  std::uint64_t discarded_messages = 0;
+  std::uint64_t rejected_requests = 0;  // complete ones
+  std::uint64_t closed_clients = 0;     // that did not read their responses
+};
+
 // Owns all client sessions. Runs on the thread of the loop.
 class Frontend {
  public:
   // `close_idle_server_connection` closes an idle connection to a data server to free its descriptor; it
-  // returns false if there is none. `loop`, `proxy` and `budget` must outlive the frontend.
-  Frontend(net::Loop& loop, proxy::Proxy& proxy, net::DescriptorBudget& budget,
+  // returns false if there is none. `loop`, `proxy`, `budget` and `memory` must outlive the frontend.
+  Frontend(net::Loop& loop, proxy::Proxy& proxy, net::DescriptorBudget& budget, limits::MemoryBudget& memory,
            std::vector<std::string> classes, std::vector<std::string> tenants, const Settings& settings,
            std::function<bool()> close_idle_server_connection);
   ~Frontend();
@@ -42,12 +50,18 @@
   // awaited input longest, then the one that has been idle longest. Returns false if there is none.
   bool CloseLeastActive();
   std::size_t sessions() const { return sessions_.size(); }
+  const MemoryCounts& memory_counts() const { return memory_counts_; }
 
  private:
   friend class ClientSession;
   using SessionList = std::list<ClientSession*>;
 
   bool MayAccept();
+  // Frees the memory of one session other than `requester`, which may be null: of the message that has been
+  // incomplete longest, else of the response that has been unread longest. Returns false if there is neither.
+  bool ReclaimMemory(const ClientSession* requester);
+  bool DiscardOldestMessage(const ClientSession* requester);
+  bool CloseOldestUnreadResponse(const ClientSession* requester);
   void StartSession(net::ObjectPtr<GSocket> socket);
   // Moves a session to the list of the phase, which is ordered by `since`.
   void MoveToPhase(ClientSession& session, ClientSession::Phase phase, TimePoint since);
@@ -69,6 +83,9 @@
   net::Loop& loop_;
   proxy::Proxy& proxy_;
   net::DescriptorBudget& budget_;
+  limits::MemoryBudget& memory_;
+  Duration memory_retry_after_;
+  MemoryCounts memory_counts_;
   std::vector<std::string> class_names_;
   std::vector<std::string> tenant_names_;
   std::vector<RequestClass> request_classes_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // The command line of the program.
+#include <malloc.h>
 #include <spdlog/cfg/env.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -18,6 +19,8 @@
 namespace {
 
 constexpr int kExitFailure = 1;
+// Larger blocks are returned to the system as soon as they are freed.
+constexpr int kMinMappedBlockBytes = 32 * 1024;
 constexpr int kExitUsage = 2;  // the command line or a file that it names cannot be used
 
 int ReportError(int exit_code, const std::string& sentence) {
@@ -49,6 +52,7 @@
 
 // Without a settings file all optional features are off.
 int Serve(const std::string& settings_file) {
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBlockBytes);
   std::signal(SIGPIPE, SIG_IGN);
   // Signals that arrive before the pooler has installed its handlers stay pending. Otherwise a SIGHUP would
   // terminate the program or, if it were ignored, leave it with an outdated configuration.
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -52,9 +52,12 @@
   return socket;
 }
 
-Connection::Connection(Loop& loop, ObjectPtr<GSocket> socket, Owner& owner, std::size_t input_limit,
-                       std::size_t output_limit)
-    : loop_(loop), socket_(std::move(socket)), owner_(&owner), input_(input_limit), output_(output_limit) {
+Connection::Connection(Loop& loop, ObjectPtr<GSocket> socket, Owner& owner, const BufferOptions& buffers)
+    : loop_(loop),
+      socket_(std::move(socket)),
+      owner_(&owner),
+      input_(buffers.input_limit, buffers.memory, buffers.input_use),
+      output_(buffers.output_limit, buffers.memory) {
   g_socket_set_blocking(socket_.get(), FALSE);
   g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
 }
@@ -62,9 +65,10 @@
 Connection::~Connection() { Close(); }
 
 std::shared_ptr<Connection> Connection::Adopt(Loop& loop, ObjectPtr<GSocket> socket, Owner& owner,
-                                              std::size_t input_limit, std::size_t output_limit) {
-  std::shared_ptr<Connection> connection(
-      new Connection(loop, std::move(socket), owner, input_limit, output_limit));
+                                              std::size_t input_limit, std::size_t output_limit,
+                                              limits::MemoryBudget* memory) {
+  std::shared_ptr<Connection> connection(new Connection(
+      loop, std::move(socket), owner, {input_limit, output_limit, memory, limits::MemoryUse::kRequest}));
   connection->connected_ = true;
   connection->UpdateWatch();
   return connection;
@@ -72,14 +76,14 @@
 
 std::shared_ptr<Connection> Connection::Connect(Loop& loop, const Address& address, Owner& owner,
                                                 std::size_t input_limit, std::size_t output_limit,
-                                                bool* out_of_descriptors) {
+                                                bool* out_of_descriptors, limits::MemoryBudget* memory) {
   const ObjectPtr<GSocketAddress> socket_address = SocketAddress(address);
   if (socket_address == nullptr) return nullptr;
   ObjectPtr<GSocket> socket =
       NewSocket(g_socket_address_get_family(socket_address.get()), out_of_descriptors);
   if (socket == nullptr) return nullptr;
   std::shared_ptr<Connection> connection(
-      new Connection(loop, std::move(socket), owner, input_limit, output_limit));
+      new Connection(loop, std::move(socket), owner, {input_limit, output_limit, memory}));
   ErrorSlot error;
   if (!g_socket_connect(connection->socket_.get(), socket_address.get(), nullptr, error.out()) &&
       !error.Matches(G_IO_ERROR_PENDING)) {
@@ -137,8 +141,9 @@
   bool received = false;
   bool broken = false;
   for (int i = 0; i < kMaxReadsPerEvent; ++i) {
-    const RingBuffer::Span span = input_.WritableSpan();
-    if (span.size == 0) break;  // full: the owner consumes some of it, or reading is paused below
+    const RingBuffer::Span span = WritableInput();
+    // Full or without memory: the owner consumes some of it, or reading is paused below.
+    if (span.size == 0) break;
     ErrorSlot error;
     const gssize count = g_socket_receive(socket_.get(), span.data, span.size, nullptr, error.out());
     if (count > 0) {
@@ -156,33 +161,57 @@
     break;
   }
   if (end_of_stream_) UpdateWatch();
-  if (received) owner_->OnReadable();
+  if (received || input_.starved()) owner_->OnReadable();
   if (closed()) return;
   if (broken) return ReportDisconnect();
   if (end_of_stream_) return owner_->OnEndOfStream();
   // With a full buffer the readable socket would wake the loop in every pass.
-  if (input_.free_space() == 0) PauseReading();
+  if (input_.free_space() == 0 || input_.starved()) PauseReading();
+}
+
+RingBuffer::Span Connection::WritableInput() {
+  RingBuffer::Span span = input_.WritableSpan();
+  while (span.size == 0 && input_.starved() && owner_->OnInputStarved()) span = input_.WritableSpan();
+  return span;
 }
 
+// Bytes that the kernel accepts at once are not copied.
 bool Connection::Write(std::string_view bytes) {
-  if (closed() || broken_ || !output_.Append(bytes)) return false;
-  if (connected_) Flush();
+  if (closed() || broken_ || bytes.size() > output_.free_space()) return false;
+  if (connected_ && output_.empty()) bytes.remove_prefix(Send(bytes));
+  output_.Append(bytes);
+  if (broken_) {
+    UpdateWatch();
+  } else if (connected_) {
+    Flush();
+  }
   return true;
 }
 
-void Connection::Flush() {
-  while (!output_.empty()) {
-    const std::string_view front = output_.FrontSpan();
+std::size_t Connection::Send(std::string_view bytes) {
+  std::size_t sent = 0;
+  while (sent < bytes.size()) {
     ErrorSlot error;
-    const gssize count = g_socket_send(socket_.get(), front.data(), front.size(), nullptr, error.out());
+    const gssize count =
+        g_socket_send(socket_.get(), bytes.data() + sent, bytes.size() - sent, nullptr, error.out());
     if (count < 0) {
       // No callback from here, as the owner may be in the middle of an operation. The kernel reports the
       // error from now on, and the poller passes it on.
       broken_ = !error.Matches(G_IO_ERROR_WOULD_BLOCK);
       awaiting_writable_ = !broken_;
-      return UpdateWatch();
+      break;
     }
-    output_.Consume(static_cast<std::size_t>(count));
+    sent += static_cast<std::size_t>(count);
+  }
+  return sent;
+}
+
+void Connection::Flush() {
+  while (!output_.empty()) {
+    const std::string_view front = output_.FrontSpan();
+    const std::size_t sent = Send(front);
+    output_.Consume(sent);
+    if (sent < front.size()) return UpdateWatch();
   }
   awaiting_writable_ = false;
   UpdateWatch();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -30,8 +30,12 @@
  public:
   class Owner {
    public:
-    virtual void OnConnected() {}       // a connection opened by Connect is established
-    virtual void OnReadable() = 0;      // bytes were added to the input buffer
+    virtual void OnConnected() {}  // a connection opened by Connect is established
+    // Bytes were added to the input buffer, or input waits that there is no memory for.
+    virtual void OnReadable() = 0;
+    // There is no memory for more input. Returns true if some has been freed. Otherwise, unless the owner
+    // consumes input in OnReadable, reading is paused until the owner resumes it.
+    virtual bool OnInputStarved() { return false; }
     virtual void OnOutputFlushed() {}   // the output buffer has become empty
     virtual void OnEndOfStream() = 0;   // the peer has shut down its sending side; all bytes have been read
     virtual void OnDisconnected() = 0;  // refused, reset or hung up: no more sending or reading
@@ -40,14 +44,17 @@
     ~Owner() = default;
   };
 
-  // Takes over a connected socket. The limits are those of the buffers in bytes, here and below.
+  // Takes over a connected socket. The limits are those of the buffers in bytes, here and below. `memory`
+  // counts the buffers; the input of a connection that was adopted belongs to requests, else to responses.
   static std::shared_ptr<Connection> Adopt(Loop& loop, ObjectPtr<GSocket> socket, Owner& owner,
-                                           std::size_t input_limit, std::size_t output_limit);
+                                           std::size_t input_limit, std::size_t output_limit,
+                                           limits::MemoryBudget* memory = nullptr);
   // Opens a connection. Null if that fails at once; see NewSocket for `out_of_descriptors`. Later failures
   // are reported by OnDisconnected.
   static std::shared_ptr<Connection> Connect(Loop& loop, const Address& address, Owner& owner,
                                              std::size_t input_limit, std::size_t output_limit,
-                                             bool* out_of_descriptors);
+                                             bool* out_of_descriptors,
+                                             limits::MemoryBudget* memory = nullptr);
   ~Connection();
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -86,8 +93,13 @@
   void Close();
 
  private:
-  Connection(Loop& loop, ObjectPtr<GSocket> socket, Owner& owner, std::size_t input_limit,
-             std::size_t output_limit);
+  struct BufferOptions {
+    std::size_t input_limit = 0;
+    std::size_t output_limit = 0;
+    limits::MemoryBudget* memory = nullptr;
+    limits::MemoryUse input_use = limits::MemoryUse::kResponse;
+  };
+  Connection(Loop& loop, ObjectPtr<GSocket> socket, Owner& owner, const BufferOptions& buffers);
   void OnEvents(std::uint32_t events) override;
   // Records the arrival time of bytes that have just been read.
   void RecordRead(std::size_t count);
@@ -95,7 +107,11 @@
   void UpdateWatch();
   void StopWatching();
   void Read();
+  // The free space of the input buffer; asks the owner to free memory if there is none for it.
+  RingBuffer::Span WritableInput();
   void Flush();
+  // Sends what the kernel accepts at once, and returns how much that is.
+  std::size_t Send(std::string_view bytes);
   void FinishConnect();
   void ReportDisconnect();
 
--- a/src/pg/message.cpp
+++ b/src/pg/message.cpp
@@ -77,6 +77,8 @@
     frame.framing = Framing::kComplete;
     frame.size = length + 1;
     frame.body = bytes.substr(kHeaderBytes, length - 4);
+  } else {
+    frame.announced_size = length + 1;
   }
   return frame;
 }
--- a/src/pg/message.h
+++ b/src/pg/message.h
@@ -23,9 +23,10 @@
 // The first message in a sequence of bytes.
 struct Frame {
   Framing framing = Framing::kPartial;
-  char type = 0;          // 0 for a startup packet, which has no type byte
-  std::string_view body;  // kComplete
-  std::size_t size = 0;   // of the complete message, with its header
+  char type = 0;                   // 0 for a startup packet, which has no type byte
+  std::string_view body;           // kComplete
+  std::size_t size = 0;            // of the complete message, with its header
+  std::size_t announced_size = 0;  // the same as the header of a kPartial message tells; 0 before its end
 };
 Frame ReadFrame(std::string_view bytes);
 Frame ReadStartupFrame(std::string_view bytes);
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -25,14 +25,15 @@
     : config_(config),
       settings_(settings),
       budget_(DescriptorLimit(config)),
-      pool_(loop_, {config.settings.connect_timeout, config.server_idle_timeout}, budget_,
+      memory_(BufferMemoryLimit(config)),
+      pool_(loop_, {config.settings.connect_timeout, config.server_idle_timeout}, budget_, memory_,
             [this] { return frontend_.CloseLeastActive(); }),
       instance_(loop_, config, settings, pool_,
                 {[this](ServerId server, const net::Address& address) { pool_.SetAddress(server, address); },
                  [this](ServerId server) { pool_.RemoveServer(server); },
                  [this] { BecomeReadyIfListed(); },
                  {}}),
-      frontend_(loop_, instance_.proxy(), budget_, config.classes, config.tenants, config.settings,
+      frontend_(loop_, instance_.proxy(), budget_, memory_, config.classes, config.tenants, config.settings,
                 [this] { return pool_.CloseLongestIdle(); }),
       report_timer_(loop_),
       ready_timer_(loop_) {
@@ -98,6 +99,11 @@
   return std::min<std::size_t>(config.max_descriptors, limit.rlim_cur);
 }
 
+std::size_t Pooler::BufferMemoryLimit(const PlatformConfig& config) {
+  if (!config.max_memory_bytes) return limits::MemoryBudget::kUnlimited;
+  return limits::BufferMemoryLimit(*config.max_memory_bytes, DescriptorLimit(config));
+}
+
 gboolean Pooler::HandleStopSignal(gpointer self) {
   static_cast<Pooler*>(self)->BeginGracefulShutdown();
   return G_SOURCE_CONTINUE;
@@ -169,6 +175,7 @@
   spdlog::info("server connections: opened={} barrier_queries={} barrier_rejections={} barrier_failures={}",
                connections.opened, connections.barrier_queries, connections.barrier_rejections,
                connections.barrier_failures);
+  LogMemoryReport();
   const consistency::SessionConsistencyGuard& guard = proxy.consistency_guard();
   if (guard.scope() == consistency::Scope::kEverywhere) {
     const consistency::SessionConsistencyCounts& sessions = guard.counts();
@@ -182,4 +189,14 @@
   report_timer_.ScheduleAfter(kReportInterval, [this] { LogReport(); });
 }
 
+void Pooler::LogMemoryReport() const {
+  const frontend::MemoryCounts& given_up = frontend_.memory_counts();
+  const std::size_t limit = memory_.limit() == limits::MemoryBudget::kUnlimited ? 0 : memory_.limit();
+  spdlog::info(
+      "memory: buffer_limit={} buffers={} buffers_peak={} discarded_messages={} rejected_requests={} "
+      "closed_clients={}",
+      limit, memory_.reserved(), memory_.peak(), given_up.discarded_messages, given_up.rejected_requests,
+      given_up.closed_clients);
+}
+
 }  // namespace lynxgrade
--- a/src/pooler.h
+++ b/src/pooler.h
@@ -8,6 +8,7 @@
 #include "admin/admin_server.h"
 #include "frontend/frontend.h"
 #include "instance.h"
+#include "limits/memory_budget.h"
 #include "net/descriptor_budget.h"
 #include "net/loop.h"
 #include "settings/platform_config.h"
@@ -30,6 +31,7 @@
 
  private:
   static std::size_t DescriptorLimit(const PlatformConfig& config);
+  static std::size_t BufferMemoryLimit(const PlatformConfig& config);
   static gboolean HandleStopSignal(gpointer self);
   static gboolean HandleReloadSignal(gpointer self);
   tl::expected<void, StartError> StartAdminServer();
@@ -42,11 +44,13 @@
   void BecomeReadyUnlisted();
   void BecomeReady();
   void LogReport();
+  void LogMemoryReport() const;
 
   const PlatformConfig& config_;
   const ProgramSettings& settings_;
   net::Loop loop_;
   net::DescriptorBudget budget_;
+  limits::MemoryBudget memory_;
   upstream::ConnectionPool pool_;
   Instance instance_;
   frontend::Frontend frontend_;
--- a/src/settings/platform_config.cpp
+++ b/src/settings/platform_config.cpp
@@ -17,6 +17,7 @@
 using Json = nlohmann::json;
 
 constexpr std::int64_t kMinDescriptors = 16;
+constexpr double kBytesPerMegabyte = 1e6;
 constexpr int kHexadecimal = 16;
 
 tl::unexpected<ConfigError> MakeError(std::string problem) {
@@ -94,6 +95,12 @@
 tl::expected<void, ConfigError> ReadProcessLimits(const Json& json, PlatformConfig& config) {
   const Json limits = json.value("limits", Json::object());
   if (!limits.is_object()) return MakeError("'limits' is not an object");
+  if (limits.contains("memory_mb")) {
+    const Json& memory = limits["memory_mb"];
+    if (!memory.is_number() || memory.get<double>() <= 0)
+      return MakeError("'memory_mb' is not a positive number");
+    config.max_memory_bytes = static_cast<std::size_t>(memory.get<double>() * kBytesPerMegabyte);
+  }
   if (!limits.contains("sockets")) return {};
   const Json& sockets = limits["sockets"];
   if (!sockets.is_number_integer() || sockets.get<std::int64_t>() < kMinDescriptors) {
--- a/src/settings/platform_config.h
+++ b/src/settings/platform_config.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -20,6 +21,8 @@
   net::Address discovery;
   std::uint64_t seed = 0;
   std::size_t max_descriptors = 1024;  // file descriptors of all connections
+  // Of the whole process, which is killed above it; absent: no limit is known.
+  std::optional<std::size_t> max_memory_bytes;
   Settings settings;
   // The names of request classes, tenants and zones, by index.
   std::vector<std::string> classes;
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -23,10 +23,11 @@
 }  // namespace
 
 ConnectionPool::ConnectionPool(net::Loop& loop, PoolSettings settings, net::DescriptorBudget& budget,
-                               std::function<bool()> close_idle_client)
+                               limits::MemoryBudget& memory, std::function<bool()> close_idle_client)
     : loop_(loop),
       settings_(std::move(settings)),
       budget_(budget),
+      memory_(memory),
       close_idle_client_(std::move(close_idle_client)),
       fault_log_limit_(loop),
       expiry_timer_(loop) {
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "limits/memory_budget.h"
 #include "net/connection.h"
 #include "net/descriptor_budget.h"
 #include "net/log_limit.h"
@@ -65,7 +66,7 @@
  public:
   // `close_idle_client` closes an idle client to free its descriptor; it returns false if there is none.
   ConnectionPool(net::Loop& loop, PoolSettings settings, net::DescriptorBudget& budget,
-                 std::function<bool()> close_idle_client);
+                 limits::MemoryBudget& memory, std::function<bool()> close_idle_client);
   virtual ~ConnectionPool();
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
@@ -137,6 +138,7 @@
   net::Loop& loop_;
   PoolSettings settings_;
   net::DescriptorBudget& budget_;
+  limits::MemoryBudget& memory_;
   std::function<bool()> close_idle_client_;
   proxy::UpstreamEvents* events_ = nullptr;
   std::map<ServerId, std::unique_ptr<ServerPool>> servers_;
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -9,6 +9,8 @@
 
 // From the first byte of a response to its last.
 constexpr Duration kResponseCompletionTimeout{100000};
+// Between attempts to read the rest of a response that there was no memory for.
+constexpr Duration kMemoryRetryInterval{5000};
 // For this part of the connect timeout attempts wait for a connection that awaits its barrier; then another
 // one is opened for them, with the rest of the time.
 constexpr double kBarrierPatienceFraction = 0.4;
@@ -30,13 +32,14 @@
       slot_(budget.backends()),
       open_timer_(loop),
       barrier_timer_(loop),
-      stall_timer_(loop) {}
+      stall_timer_(loop),
+      memory_timer_(loop) {}
 
 ServerConnection::~ServerConnection() { Close(); }
 
 bool ServerConnection::Open(const net::Address& address, Duration timeout, bool* descriptors_exhausted) {
   connection_ = net::Connection::Connect(loop_, address, *this, pg::kMaxBufferBytes, pg::kMaxBufferBytes,
-                                         descriptors_exhausted);
+                                         descriptors_exhausted, &pool_.memory_);
   if (connection_ == nullptr) return false;
   // A host that is down sends no reset; this timer ends the attempt to connect.
   open_timer_.ScheduleAt(loop_.PreciseNow() + timeout, [this] { HandleConnectionLost(); });
@@ -47,6 +50,7 @@
   open_timer_.Cancel();
   barrier_timer_.Cancel();
   stall_timer_.Cancel();
+  memory_timer_.Cancel();
   attempt_.reset();
   if (connection_ != nullptr) connection_->Close();
 }
@@ -121,7 +125,11 @@
     if (result == ReadResult::kReady) HandleReadyForQuery();
   }
   if (connection->closed()) return;
-  connection->ResumeReading();
+  if (connection->input().starved()) {
+    memory_timer_.ScheduleAfter(kMemoryRetryInterval, [this] { connection_->ResumeReading(); });
+  } else {
+    connection->ResumeReading();
+  }
   // A partial message that is left here would be parsed as the start of the next response.
   if (state_ == State::kIdle && !connection->input().empty())
     return FailMalformed("unexpected bytes on an idle connection");
@@ -135,6 +143,10 @@
 }
 
 void ServerConnection::HandleStalledResponse(bool extended) {
+  // Without memory the response waits in the kernel; only the deadline of the attempt ends that.
+  if (connection_->input().starved())
+    return stall_timer_.ScheduleAfter(kResponseCompletionTimeout,
+                                      [this] { HandleStalledResponse(/*extended=*/false); });
   // The rest may have arrived while this loop was blocked. The time is extended only once, since a response
   // that never ends always has unread input.
   if (!extended && !HasNoUnreadInput())
--- a/src/upstream/server_connection.h
+++ b/src/upstream/server_connection.h
@@ -50,6 +50,7 @@
 
   void OnConnected() override;
   void OnReadable() override;
+  bool OnInputStarved() override { return pool_.memory_.Reclaim(); }
   void OnEndOfStream() override { HandleConnectionLost(); }
   void OnDisconnected() override { HandleConnectionLost(); }
   ReadResult ReadMessage(char type, std::string_view body);
@@ -90,6 +91,7 @@
   net::Timer open_timer_;
   net::Timer barrier_timer_;
   net::Timer stall_timer_;
+  net::Timer memory_timer_;  // until there may be memory to read on
   State state_ = State::kOpening;
   std::shared_ptr<Attempt> attempt_;  // set exactly if kRunning
   ResponseReader response_;           // to the startup message or to the attempt's query
--- a/tests/proxy/shutdown_test.cpp
+++ b/tests/proxy/shutdown_test.cpp
@@ -461,7 +461,9 @@
 TEST_CASE("a retry whose connection is established after the idempotency window is not sent") {
   net::Loop loop;
   net::DescriptorBudget budget(100);
-  upstream::ConnectionPool pool(loop, {.connect_timeout = Duration(5000000)}, budget, [] { return false; });
+  limits::MemoryBudget memory;
+  upstream::ConnectionPool pool(loop, {.connect_timeout = Duration(5000000)}, budget, memory,
+                                [] { return false; });
   AttemptRecorder recorder;
   pool.SetEvents(recorder);
   std::vector<std::unique_ptr<TestConnection>> peers;
@@ -778,6 +780,8 @@
       {R"("seed":"1f")", R"("seed":"zz")", "seed"},
       {R"("seed":"1f")", R"("limits":7,"seed":"1f")", "limits"},
       {R"("seed":"1f")", R"("limits":{"sockets":-1},"seed":"1f")", "sockets"},
+      {R"("seed":"1f")", R"("limits":{"memory_mb":0},"seed":"1f")", "memory_mb"},
+      {R"("seed":"1f")", R"("limits":{"memory_mb":"32"},"seed":"1f")", "memory_mb"},
   };
   for (const auto& c : cases) {
     CAPTURE(c.malformed_text);
--- a/tests/support/pool_fixture.h
+++ b/tests/support/pool_fixture.h
@@ -22,7 +22,7 @@
 struct PoolFixture final : proxy::UpstreamEvents {
   virtual ~PoolFixture() = default;
   explicit PoolFixture(upstream::PoolSettings settings = {})
-      : pool(loop, std::move(settings), budget, [] { return false; }),
+      : pool(loop, std::move(settings), budget, memory, [] { return false; }),
         server(loop,
                [](TestConnection& connection, const std::string&) { connection.Send(RowResponse("v")); }) {
     pool.SetEvents(*this);
@@ -44,6 +44,7 @@
   static constexpr ServerId kServer{1};
   net::Loop loop;
   net::DescriptorBudget budget{200};
+  limits::MemoryBudget memory;
   upstream::ConnectionPool pool;
   DataServer server;
   std::shared_ptr<const proxy::Statement> statement = std::make_shared<RemainingTimeStatement>();
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -197,9 +197,9 @@
 struct SimulatedFleet {
   explicit SimulatedFleet(std::size_t descriptors = 200, const Settings& settings = DefaultSettings())
       : budget(descriptors),
-        pool(loop, {}, budget, [this] { return frontend.CloseLeastActive(); }),
+        pool(loop, {}, budget, memory, [this] { return frontend.CloseLeastActive(); }),
         proxy(loop, settings, 7, pool),
-        frontend(loop, proxy, budget, {"any", "own", "write"}, {"acme"}, settings,
+        frontend(loop, proxy, budget, memory, {"any", "own", "write"}, {"acme"}, settings,
                  [this] { return pool.CloseLongestIdle(); }) {
     pool.SetEvents(proxy);
     REQUIRE(frontend.Listen({"127.0.0.1", 0}));
@@ -254,6 +254,7 @@
 
   net::Loop loop;
   net::DescriptorBudget budget;
+  limits::MemoryBudget memory;
   upstream::ConnectionPool pool;
   proxy::Proxy proxy;
   frontend::Frontend frontend;
