Run no id again that may have run after its client left, nor that of a write

Cause: ids were remembered only while their request was in flight. Idempotent requests whose client has the answer may come again, as before.

--- a/src/frontend/client_session.cpp
+++ b/src/frontend/client_session.cpp
@@ -90,11 +90,7 @@
   connection_->Close();
   resume_timer_.Cancel();
   presence_timer_.Cancel();
-  if (state_ == State::kInFlight) {
-    state_ = State::kReady;
-    frontend_.client_request_ids_.erase(client_request_id_);
-    frontend_.proxy_.CancelRequest(request_id_);
-  }
+  if (state_ == State::kInFlight) CancelRequest();
   frontend_.RemoveSession(*this);
 }
 
@@ -122,10 +118,15 @@
 // to an earlier request.
 void ClientSession::Cancel(std::uint32_t secret, TimePoint arrived_at) {
   if (secret != secret_ || state_ != State::kInFlight || arrived_at < accept_cancels_from_) return;
-  frontend_.proxy_.CancelRequest(request_id_);
+  CancelRequest();
   SendError("57014", "canceling statement due to user request");
 }
 
+void ClientSession::CancelRequest() {
+  const bool attempted = frontend_.proxy_.CancelRequest(request_id_);
+  EndRequest(attempted ? RequestEnd::kMayHaveRun : RequestEnd::kRepeatable);
+}
+
 void ClientSession::AbortRequest() {
   if (state_ == State::kInFlight) frontend_.proxy_.AbortRequest(request_id_);
 }
@@ -393,8 +394,14 @@
   }
   // Data servers would treat a second request with the same id as a retry of the first.
   std::string id(comment.id);
-  if (frontend_.client_request_ids_.contains(id))
-    return SendError("22023", "a request of this id is open already");
+  switch (frontend_.request_ids_.Find(id, frontend_.loop_.Now())) {
+    case RequestIdRegistry::IdState::kUnknown:
+      break;
+    case RequestIdRegistry::IdState::kInFlight:
+      return SendError("22023", "a request of this id is open already");
+    case RequestIdRegistry::IdState::kMayHaveRun:
+      return SendError("22023", "a request of this id may have run already");
+  }
   auto memory = ReserveForStatement(text);
   if (!memory) {
     ++frontend_.memory_counts_.rejected_requests;
@@ -421,13 +428,15 @@
   request.statement = statement;
   state_ = State::kInFlight;
   accept_cancels_from_ = std::max(frontend_.loop_.Now(), last_response_at_ + Duration(1));
-  frontend_.client_request_ids_.insert(id);
+  request_idempotent_ = request_class.idempotency == Idempotency::kIdempotent;
+  frontend_.request_ids_.Begin(id);
   client_request_id_ = std::move(id);
   UpdatePhase();  // first, because starting the request may close idle sessions to free a descriptor
   frontend_.proxy_.StartRequest(std::move(request), *this, request_id_);
 }
 
 void ClientSession::OnResponse(const proxy::Response& response) {
+  EndRequest(EndAfterAnswer());
   std::string out;
   out.reserve(response.row_description.size() + response.data_row.size() + response.command_tag.size() + 32);
   pg::AppendMessage(out, 'T', response.row_description);
@@ -438,6 +447,7 @@
 
 // The SQLSTATE tells the client that a retry is safe; the detail is the Retry-After in milliseconds.
 void ClientSession::OnRejected(Duration retry_after) {
+  EndRequest(RequestEnd::kRepeatable);
   SendRejection("too much to do to answer in time", retry_after);
 }
 
@@ -447,10 +457,25 @@
 }
 
 void ClientSession::OnFailed() {
+  EndRequest(EndAfterAnswer());
   SendError("58000", "no data server has answered; whether it has run is not known");
 }
 
-void ClientSession::OnInvalidStatement() { SendError("42601", "the data server cannot use this statement"); }
+void ClientSession::OnInvalidStatement() {
+  EndRequest(RequestEnd::kRepeatable);
+  SendError("42601", "the data server cannot use this statement");
+}
+
+// A client that has its answer may send an idempotent request again.
+RequestEnd ClientSession::EndAfterAnswer() const {
+  return request_idempotent_ ? RequestEnd::kRepeatable : RequestEnd::kMayHaveRun;
+}
+
+void ClientSession::EndRequest(RequestEnd end) {
+  frontend_.request_ids_.End(client_request_id_, end, frontend_.loop_.Now());
+  last_response_at_ = frontend_.loop_.Now();
+  state_ = State::kReady;
+}
 
 void ClientSession::SendError(std::string_view code, std::string_view message, std::string_view detail) {
   std::string out;
@@ -458,13 +483,8 @@
   SendResponse(out);
 }
 
-// Completes the request in flight, if any, and continues with the input that has arrived in the meantime.
+// Continues with the input that has arrived in the meantime.
 void ClientSession::SendResponse(std::string& bytes) {
-  if (state_ == State::kInFlight) {
-    frontend_.client_request_ids_.erase(client_request_id_);
-    last_response_at_ = frontend_.loop_.Now();
-  }
-  state_ = State::kReady;
   pg::AppendReadyForQuery(bytes);
   const auto self = shared_from_this();
   Write(bytes);
--- a/src/frontend/client_session.h
+++ b/src/frontend/client_session.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "frontend/request_id_registry.h"
 #include "limits/memory_budget.h"
 #include "net/connection.h"
 #include "net/descriptor_budget.h"
@@ -108,7 +109,12 @@
   void HandleQuery(std::string_view text);
   void HandleRequest(std::string_view text);
   void Write(std::string_view bytes);
+  // Ends the request in flight.
+  void EndRequest(RequestEnd end);
+  RequestEnd EndAfterAnswer() const;
   void SendResponse(std::string& bytes);
+  // Cancels the request in flight, whose client has left or has asked for it.
+  void CancelRequest();
   void SendRejection(std::string_view message, Duration retry_after);
   void SendError(std::string_view code, std::string_view message, std::string_view detail = {});
   void FailConnection(std::string_view code, std::string_view message);
@@ -126,6 +132,7 @@
   TimePoint last_response_at_{};     // when the response to the last request was written
   TimePoint accept_cancels_from_{};  // an earlier CancelRequest refers to an earlier request
   std::string client_request_id_;    // the client's id of the request in flight
+  bool request_idempotent_ = false;  // of the request in flight
   std::size_t discarded_bytes_ = 0;
   std::size_t discard_remaining_ = 0;  // bytes to come of a message that is discarded
   TimePoint discard_message_since_{};  // when its first byte arrived
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -7,10 +7,10 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "frontend/client_session.h"
+#include "frontend/request_id_registry.h"
 #include "limits/memory_budget.h"
 #include "net/descriptor_budget.h"
 #include "net/listener.h"
@@ -94,7 +94,7 @@
   std::unordered_map<ClientSession*, std::shared_ptr<ClientSession>> sessions_;
   // In each list, the session that has been in the phase longest is first.
   std::array<SessionList, ClientSession::kPhaseCount> sessions_by_phase_;
-  std::unordered_set<std::string> client_request_ids_;  // of the requests in flight
+  RequestIdRegistry request_ids_;
   std::unordered_map<std::uint32_t, ClientSession*> sessions_by_process_id_;
   net::LogRateLimiter error_log_limit_;
   Duration kill_grace_;  // from SIGTERM to the earliest possible kill
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -107,19 +107,21 @@
   held.mapped().client->OnFailed();
 }
 
-void Proxy::CancelRequest(RequestId request) {
+bool Proxy::CancelRequest(RequestId request) {
   if (held_responses_.erase(request) > 0) {
     --in_flight_;
     ++counts_.cancelled;
-    return;
+    return true;
   }
-  if (TakeClient(request) == nullptr) return;
+  if (TakeClient(request) == nullptr) return false;
+  const bool attempted = requests_.at(request).attempts > 0;
   ++counts_.cancelled;
   consistency_guard_.FinishRequest(request);
   HandleEvent(ClientDisconnectedEvent{request});
   // If the settings disable cancellation, the balancer cancels nothing, and an attempt that waits for a
   // connection would be sent long after the client has disconnected.
   upstream_.CancelUnsentAttempts(request);
+  return attempted;
 }
 
 void Proxy::AbortRequest(RequestId request) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -30,8 +30,9 @@
   // Starts a request. `client` is called exactly once, possibly before this returns, unless CancelRequest is
   // called first; it must stay valid until then. `id` is set before `client` can be called.
   void StartRequest(Request request, Client& client, RequestId& id);
-  // Cancels a request whose client has disconnected or has cancelled it; the client is not called.
-  void CancelRequest(RequestId request);
+  // Cancels a request whose client has disconnected or has cancelled it; the client is not called. Returns
+  // whether the request may have run.
+  bool CancelRequest(RequestId request);
   // Ends a request at once, before the process exits: as rejected if no attempt was started, else as failed.
   void AbortRequest(RequestId request);
   // Applies a complete endpoint list or a change of it.
