--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -282,6 +282,11 @@
   return closed() || broken_ || end_of_stream_ || g_socket_condition_check(socket_.get(), G_IO_IN) != 0;
 }
 
+bool Connection::HasHungUp() const {
+  constexpr auto kHangUp = static_cast<GIOCondition>(G_IO_HUP | G_IO_ERR);
+  return closed() || broken_ || g_socket_condition_check(socket_.get(), kHangUp) != 0;
+}
+
 void Connection::ReportDisconnect() {
   broken_ = disconnect_reported_ = true;
   StopWatching();
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -90,6 +90,8 @@
   void ShutdownSending();
   // Whether the socket has unread bytes, or the connection has ended.
   bool HasPendingInput() const;
+  // Whether the connection is closed, was reset or has ended in both directions.
+  bool HasHungUp() const;
   void Close();
 
  private:
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kImmediatePoll{100};  // a poll that returns within this has found events that were pending
 constexpr Duration kMaxWakeupDelay{5000};  // a poll that returns later than its timeout plus this was held up
 
+constexpr Duration kMinStall{20000};
+
 GSourceFuncs kCallbackSource = {
     nullptr, nullptr, [](GSource*, GSourceFunc call, gpointer data) { return call(data); },
     nullptr, nullptr, nullptr};
@@ -58,6 +60,7 @@
     const bool late = timeout > 0 && waited > std::chrono::milliseconds(timeout) + kMaxWakeupDelay;
     g_loop->earliest_arrival_ = late ? entered : now;
   }
+  if (now - g_loop->earliest_arrival_ > kMinStall) g_loop->last_stall_ = now;
   g_loop->now_ = now;
   return ready;
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -31,6 +31,8 @@
   // The events of the current pass have arrived no earlier than this. They may have arrived before Now():
   // during the previous pass, or while the process was stopped.
   TimePoint EarliestArrival() const { return earliest_arrival_; }
+  // The end of the latest stall: of a pass that was long, or of a time in which the process was stopped.
+  TimePoint last_stall() const { return last_stall_; }
 
   Poller& poller() { return poller_; }
 
@@ -54,6 +56,7 @@
   TimePoint unix_anchor_;
   TimePoint now_;
   TimePoint earliest_arrival_;
+  TimePoint last_stall_{};
   bool running_ = false;
   std::uint64_t next_timer_number_ = 0;
   std::map<TimerKey, std::function<void()>> timers_;
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -38,6 +38,9 @@
   virtual void OnFailed() = 0;
   // A data server rejected the statement itself, as every other server would.
   virtual void OnInvalidStatement() = 0;
+  // Whether the client is known to have been connected so recently that an attempt may be sent now. If not,
+  // the client is probed, and a later call may succeed. Calls back into no other object.
+  virtual bool ConfirmPresence() { return true; }
 
  protected:
   ~Client() = default;
@@ -66,6 +69,9 @@
  public:
   virtual void OnAttemptFinished(AttemptResult result) = 0;
   virtual void OnHealthCheckFinished(const HealthCheckEvent& event) = 0;
+  // Called right before an attempt is sent. If it returns false, the client may have left: the attempt is
+  // postponed for a few milliseconds.
+  virtual bool MaySendAttempt(RequestId) { return true; }
 
  protected:
   ~UpstreamEvents() = default;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -239,6 +239,11 @@
   HandleEvent(std::move(event));
 }
 
+bool Proxy::MaySendAttempt(RequestId request) {
+  const auto it = requests_.find(request);
+  return it != requests_.end() && it->second.client != nullptr && it->second.client->ConfirmPresence();
+}
+
 void Proxy::HandleEvent(Event event) {
   events_.push_back(std::move(event));
   HandleQueuedEvents();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -78,6 +78,7 @@
 
   void OnAttemptFinished(AttemptResult result) override;
   void OnHealthCheckFinished(const HealthCheckEvent& health_check) override;
+  bool MaySendAttempt(RequestId request) override;
   void HandleEvent(Event event);
   // Passes the event to the consistency guard, which may amend it, and rejects the reads whose consistency
   // can no longer be guaranteed after it.
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -19,6 +19,8 @@
 // arrive.
 constexpr Duration kReusePause{5000};
 constexpr Duration kExpiryInterval{500000};
+// Between two checks of whether the client of a waiting attempt is still connected.
+constexpr Duration kPostponeInterval{5000};
 
 }  // namespace
 
@@ -143,6 +145,7 @@
   const std::shared_ptr<Attempt> finished = attempt;
   finished->deadline_timer.Cancel();
   finished->send_timer.Cancel();
+  finished->postpone_timer.Cancel();
   finished->connection = nullptr;
   if (ServerPool* server = FindServer(finished->server)) std::erase(server->waiting, finished);
   // The latency of the data server does not include the time spent waiting for a connection.
@@ -190,7 +193,24 @@
   return connection;
 }
 
+void ConnectionPool::PostponeFirst(ServerPool& server) {
+  const std::shared_ptr<Attempt> attempt = server.waiting.front();
+  server.waiting.pop_front();
+  attempt->postpone_timer.ScheduleAfter(kPostponeInterval, [this, weak = std::weak_ptr<Attempt>(attempt)] {
+    if (auto postponed = weak.lock()) Requeue(std::move(postponed));
+  });
+}
+
+void ConnectionPool::Requeue(std::shared_ptr<Attempt> attempt) {
+  ServerPool* server = FindServer(attempt->server);
+  if (server == nullptr) return FinishAttempt(attempt, Outcome::kUnreachable);
+  server->waiting.push_front(std::move(attempt));
+  AssignConnections(*server);
+}
+
 void ConnectionPool::SendOnIdleConnection(ServerPool& server) {
+  const Attempt& first = *server.waiting.front();
+  if (!first.is_health_check() && !events_->MaySendAttempt(first.request)) return PostponeFirst(server);
   ServerConnection* connection = PopIdleConnection(server);
   // The server may have closed the connection with the close still unread, or be about to close it as idle if
   // this loop was blocked for longer than the expiry interval.
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -43,7 +43,8 @@
 // An attempt of a request, or a health check, from its start to its result. Shared by the pool and the
 // connection that runs it.
 struct Attempt {
-  Attempt(net::Loop& loop, ServerId to) : server(to), deadline_timer(loop), send_timer(loop) {}
+  Attempt(net::Loop& loop, ServerId to)
+      : server(to), deadline_timer(loop), send_timer(loop), postpone_timer(loop) {}
 
   ServerId server;
   RequestId request{};
@@ -55,6 +56,7 @@
   TimePoint write_deadline = TimePoint::max();        // until which the last byte must be written
   net::Timer deadline_timer;
   net::Timer send_timer;                   // waiting for a connection, then for the last byte to be written
+  net::Timer postpone_timer;               // until it is known again whether the client is connected
   ServerConnection* connection = nullptr;  // not owned; null while it waits
   bool is_health_check() const { return statement == nullptr; }
 };
@@ -115,6 +117,10 @@
   // Sends the first waiting attempt on an idle connection. Closes the connection instead if it may be stale,
   // or fails the attempt if its time has passed.
   void SendOnIdleConnection(ServerPool& server);
+  // Takes the first waiting attempt out of the queue for a few milliseconds.
+  void PostponeFirst(ServerPool& server);
+  // Queues a postponed attempt again, before the others.
+  void Requeue(std::shared_ptr<Attempt> attempt);
   // Opens a connection, and frees a descriptor for it if necessary. Returns false if none can be opened.
   bool OpenConnection(ServerPool& server);
   // Closes a connection and drops the pool's reference to it. A callback of the connection that calls this
