End a request's deadline timer with the request

Cause: the timer of a request's deadline stayed until it was due, and a client may name an hour (d=3600000): each served request left some 150 bytes for that time. The same held for held responses. Change: SetTimer names its request, and the proxy's timer ends with it.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -41,8 +41,10 @@
   } while (requests_.contains(id));
   ++counts_.received;
   ++in_flight_;
-  requests_[id] = {&client, std::move(request.statement)};
-  requests_[id].deadline = loop_.Now() + request.event.time_left - response_margin_;
+  PendingRequest& pending = requests_[id];
+  pending.client = &client;
+  pending.statement = std::move(request.statement);
+  pending.deadline = loop_.Now() + request.event.time_left - response_margin_;
   request.event.id = id;
   // The request may have been sent after this iteration of the loop began, and after another instance
   // acknowledged a write in the meantime. Its required position therefore includes writes up to the precise
@@ -227,10 +229,10 @@
     return;
   }
   ++in_flight_;  // in flight again until the held response is sent
-  held_responses_[id] = {&client, std::move(response)};
-  loop_.Schedule(std::max(deadline, loop_.Now()), [self = std::weak_ptr(self_), id] {
-    if (const auto proxy = self.lock()) (*proxy)->FailHeldResponse(id);
-  });
+  HeldResponse& held_response = held_responses_[id];
+  held_response = {&client, std::move(response), std::make_unique<net::Timer>(loop_)};
+  held_response.deadline_timer->ScheduleAt(std::max(deadline, loop_.Now()),
+                                           [this, id] { FailHeldResponse(id); });
 }
 
 void Proxy::OnHealthCheckFinished(const HealthCheckEvent& health_check) {
@@ -318,7 +320,15 @@
   client->OnFailed();
 }
 
+// The deadline timer of a request ends with it: a client may name a deadline hours away.
 void Proxy::Execute(const SetTimer& action) {
+  if (action.request) {
+    const auto it = requests_.find(*action.request);
+    if (it == requests_.end()) return;
+    it->second.deadline_timer = std::make_unique<net::Timer>(loop_);
+    return it->second.deadline_timer->ScheduleAfter(action.delay,
+                                                    [this, id = action.id] { HandleEvent(TimerEvent{id}); });
+  }
   loop_.Schedule(loop_.Now() + action.delay, [self = std::weak_ptr(self_), id = action.id] {
     if (const auto proxy = self.lock()) (*proxy)->HandleEvent(TimerEvent{id});
   });
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -74,6 +74,7 @@
     AttemptNumber attempts = 0;
     bool known_to_balancer = false;
     TimePoint deadline{};  // of the response, less response_margin_
+    std::unique_ptr<net::Timer> deadline_timer;
   };
 
   void OnAttemptFinished(AttemptResult result) override;
@@ -121,6 +122,7 @@
   struct HeldResponse {
     Client* client = nullptr;
     Response response;
+    std::unique_ptr<net::Timer> deadline_timer;
   };
   std::unordered_map<RequestId, HeldResponse> held_responses_;
   // Reads that are delayed until the other instances have reported their watermarks, oldest first.
--- a/src/routing/actions.h
+++ b/src/routing/actions.h
@@ -36,6 +36,8 @@
 struct SetTimer {
   TimerId id{};
   Duration delay{0};
+  // The request that it belongs to, if any: the timer is of no use once that has ended.
+  std::optional<RequestId> request{};
 };
 struct StartHealthCheck {
   ServerId server{};
--- a/src/routing/decision_context.cpp
+++ b/src/routing/decision_context.cpp
@@ -10,9 +10,13 @@
   actions_ = &actions;
 }
 
-void DecisionContext::SetTimer(TimerKind kind, Duration delay, std::uint64_t request_id) {
-  const auto timer_id = TimerId((static_cast<std::uint64_t>(kind) << 32) | request_id);
-  Emit(lynxgrade::SetTimer{timer_id, delay});
+void DecisionContext::SetTimer(TimerKind kind, Duration delay) {
+  Emit(lynxgrade::SetTimer{TimerId(static_cast<std::uint64_t>(kind) << 32), delay});
+}
+
+void DecisionContext::SetRequestDeadline(RequestId request, Duration delay) {
+  const auto kind = static_cast<std::uint64_t>(TimerKind::kRequestDeadline);
+  Emit(lynxgrade::SetTimer{TimerId(kind << 32 | static_cast<std::uint64_t>(request)), delay, request});
 }
 
 Duration DecisionContext::Jitter(Duration duration) {
--- a/src/routing/decision_context.h
+++ b/src/routing/decision_context.h
@@ -38,7 +38,8 @@
   Duration now_since_epoch() const { return now_.time_since_epoch(); }
 
   void Emit(Action action) { actions_->push_back(std::move(action)); }
-  void SetTimer(TimerKind kind, Duration delay, std::uint64_t request_id = 0);
+  void SetTimer(TimerKind kind, Duration delay);
+  void SetRequestDeadline(RequestId request, Duration delay);
 
   // Requests that waiting requests are routed again at the end of the event, as some may be routable now.
   void RequestRetryOfWaiting() { retry_waiting_ = true; }
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -41,7 +41,7 @@
   // The final answer must be sent before the deadline.
   const Duration time_to_decide = event.time_left - settings.tick * 2;
   if (time_to_decide <= Duration{0} || parts_.load_shedding.IsTooLate(request)) return Finish(request);
-  context_.SetTimer(TimerKind::kRequestDeadline, time_to_decide, static_cast<std::uint64_t>(event.id));
+  context_.SetRequestDeadline(event.id, time_to_decide);
   RouteRequest(request);
 }
 
--- a/tests/proxy/deadlines_test.cpp
+++ b/tests/proxy/deadlines_test.cpp
@@ -220,5 +220,23 @@
   CHECK_FALSE(client.peer_closed);
 }
 
+TEST_CASE("the timer of a distant deadline ends with its request") {
+  SimulatedFleet fleet(200, LongDeadlineSettings());
+  fleet.AddServer(kEchoValue);
+  fleet.ApplyEndpointList();
+  constexpr int kHourMs = 3600000;
+  TestConnection& client = fleet.ConnectClient({RequestText("any", "k", kHourMs)});
+  fleet.RunUntil([&] { return client.MessageTypes().ends_with("TDCZ") && fleet.pool.idle() == 1; });
+  const std::size_t timers = fleet.loop.timer_count();
+  constexpr std::size_t kRequests = 50;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    client.received.clear();
+    client.Send(QueryMessage(RequestText("any", "k", kHourMs)));
+    fleet.RunUntil([&] { return client.MessageTypes().ends_with("Z"); });
+  }
+  REQUIRE(fleet.proxy.counts().served > kRequests / 2);
+  CHECK(fleet.loop.timer_count() < timers + kRequests / 2);
+}
+
 }  // namespace
 }  // namespace lynxgrade
