Let queued input use half of the memory budget, and read requests in a module of their own

Cause: since the memory budget, a session with a request in flight buffered 16 KiB at most. Change: such input grows as before, within half of the budget; beyond that it waits in the kernel.

--- a/src/frontend/client_session.cpp
+++ b/src/frontend/client_session.cpp
@@ -16,14 +16,11 @@
 // Messages of one client processed per loop iteration, so that a client that pipelines hundreds does not
 // starve the others.
 constexpr int kMaxMessagesPerIteration = 16;
-constexpr int kMaxTimeBudgetMs = 3600000;
 // Latest Unix time that is accepted as a watermark. A later one would overflow in microseconds.
 constexpr std::int64_t kMaxWatermarkMs = std::int64_t{1} << 50;
 // Input that is read and discarded while a session closes. If a client sends more, the connection is closed
 // at once, and the reset stops the client.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{256} * 1024;
-// Input that is buffered while a request is in flight; what exceeds it waits in the kernel.
-constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} * 1024;
 // A statement up to this size needs no memory of the budget.
 constexpr std::size_t kSmallStatementBytes = 2048;
 // A statement is held as text, and once more by a connection whose data server does not read it at once.
@@ -47,13 +44,6 @@
   return text.size() == word.size() || text[word.size()] == ' ' || text[word.size()] == ';';
 }
 
-template <typename Names>
-std::optional<std::uint32_t> IndexOf(const Names& names, std::string_view name) {
-  const auto it = std::ranges::find(names, name);
-  if (it == names.end()) return std::nullopt;
-  return static_cast<std::uint32_t>(it - names.begin());
-}
-
 // Returns an unpredictable secret key for CancelRequest. Throws std::system_error if the kernel returns no
 // random bytes.
 std::uint32_t RandomSecret() {
@@ -66,19 +56,6 @@
 
 }  // namespace
 
-std::shared_ptr<ClientStatement> ClientStatement::Parse(std::string_view text, std::string& error) {
-  auto statement = std::make_shared<ClientStatement>();
-  statement->text_ = std::string(text);
-  const auto comment = pg::ReadComment(statement->text_, error);
-  if (!comment) return nullptr;
-  statement->comment_ = *comment;
-  return statement;
-}
-
-std::string ClientStatement::TextWithBudget(Duration remaining) const {
-  return pg::ReplaceTimeBudget(text_, comment_, std::max<std::int64_t>(1, remaining.count() / 1000));
-}
-
 ClientSession::ClientSession(Frontend& frontend, net::DescriptorBudget& budget)
     : frontend_(frontend),
       slot_(budget.clients()),
@@ -158,7 +135,6 @@
     return Close();
   }
   UpdatePhase();
-  connection->input().SetLimit(state_ == State::kInFlight ? kMaxPipelinedBytes : pg::kMaxBufferBytes);
   const bool has_room = connection->input().free_space() > 0 && !connection->input().starved();
   if (has_room && connection->reading_paused()) {
     reading_resumed_at_ = frontend_.loop_.Now();
@@ -407,29 +383,11 @@
 }
 
 void ClientSession::HandleRequest(std::string_view text) {
-  std::string error;
-  const auto statement = ClientStatement::Parse(text, error);
-  if (statement == nullptr) return SendError("42601", error);
-  const pg::Comment& comment = statement->comment();
-  if (comment.statement_empty) return SendError("42601", "the statement is empty");
-  if (comment.id.empty()) return SendError("22023", "the comment names no id");
-  if (!comment.group) return SendError("22023", "the comment names no cluster");
-  if (!comment.time_budget_ms || *comment.time_budget_ms > kMaxTimeBudgetMs) {
-    return SendError("22023", "the comment gives no time that a client would wait");
-  }
-  const auto cls = IndexOf(frontend_.class_names_, comment.request_class);
-  if (!cls) return SendError("22023", "the class is not known here");
-  const auto tenant = IndexOf(frontend_.tenant_names_, comment.tenant);
-  if (!tenant && !(frontend_.tenant_names_.empty() && comment.tenant.empty())) {
-    return SendError("22023", "the tenant is not known here");
-  }
-  const RequestClass& request_class = frontend_.request_classes_[*cls];
-  if (request_class.idempotency == Idempotency::kIdempotencyKey && comment.idempotency_key.empty()) {
-    return SendError("22023", "the class is keyed, and the comment names no key");
-  }
+  const auto read = frontend_.request_catalog_.Read(text);
+  if (!read) return SendError(read.error().sqlstate, read.error().message);
+  const pg::Comment& comment = read->statement->comment();
   // Data servers would treat a second request with the same id as a retry of the first.
-  std::string id(comment.id);
-  switch (frontend_.request_ids_.Find(id, frontend_.loop_.Now())) {
+  switch (frontend_.request_ids_.Find(comment.id, frontend_.loop_.Now())) {
     case RequestIdRegistry::IdState::kUnknown:
       break;
     case RequestIdRegistry::IdState::kInFlight:
@@ -442,33 +400,40 @@
     ++frontend_.memory_counts_.rejected_requests;
     return SendRejection("too little memory for this statement", frontend_.memory_retry_after_);
   }
-  statement->HoldMemory(std::move(*memory));
-  proxy::Request request;
-  request.event.group = GroupId(*comment.group);
-  request.event.request_class = *cls;
-  request.event.tenant = tenant.value_or(0);
+  read->statement->HoldMemory(std::move(*memory));
+  const RequestClass& request_class = frontend_.request_catalog_.ClassOf(*read);
+  proxy::Request request{MakeEvent(*read, request_class), read->statement};
+  present_at_ = std::max(present_at_, message_received_at_);
+  state_ = State::kInFlight;
+  connection_->input().SetUse(limits::MemoryUse::kQueuedInput);
+  accept_cancels_from_ = std::max(frontend_.loop_.Now(), last_response_at_ + Duration(1));
+  request_idempotent_ = request_class.idempotency == Idempotency::kIdempotent;
+  client_request_id_ = std::string(comment.id);
+  frontend_.request_ids_.Begin(client_request_id_);
+  UpdatePhase();  // first, because starting the request may close idle sessions to free a descriptor
+  frontend_.proxy_.StartRequest(std::move(request), *this, request_id_);
+}
+
+RequestEvent ClientSession::MakeEvent(const ClientRequest& request, const RequestClass& request_class) const {
+  const pg::Comment& comment = request.statement->comment();
+  RequestEvent event;
+  event.group = GroupId(*comment.group);
+  event.request_class = request.request_class;
+  event.tenant = request.tenant;
   if (request_class.kind == AccessKind::kWrite || request_class.kind == AccessKind::kSessionRead)
-    request.event.session = comment.object_id;
+    event.session = comment.object_id;
   // The client sends the watermark of its session. One in the future cannot stem from a write and is clamped.
   if (request_class.kind == AccessKind::kSessionRead && comment.session_write_ms) {
     const LogPosition after{std::chrono::milliseconds(std::min(*comment.session_write_ms, kMaxWatermarkMs))};
-    request.event.required_position = std::min(after, frontend_.loop_.Now());
+    event.required_position = std::min(after, frontend_.loop_.Now());
   }
-  request.event.is_retry = comment.is_retry;
+  event.is_retry = comment.is_retry;
   // The budget counts from the arrival of the last byte, so it includes the time queued behind other
   // requests. The balancer rejects a request whose budget is used up.
-  request.event.waited = std::max(Duration{0}, frontend_.loop_.Now() - message_received_at_);
-  request.event.time_left =
-      frontend_.LimitToShutdown(std::chrono::milliseconds(*comment.time_budget_ms) - request.event.waited);
-  present_at_ = std::max(present_at_, message_received_at_);
-  request.statement = statement;
-  state_ = State::kInFlight;
-  accept_cancels_from_ = std::max(frontend_.loop_.Now(), last_response_at_ + Duration(1));
-  request_idempotent_ = request_class.idempotency == Idempotency::kIdempotent;
-  frontend_.request_ids_.Begin(id);
-  client_request_id_ = std::move(id);
-  UpdatePhase();  // first, because starting the request may close idle sessions to free a descriptor
-  frontend_.proxy_.StartRequest(std::move(request), *this, request_id_);
+  event.waited = std::max(Duration{0}, frontend_.loop_.Now() - message_received_at_);
+  event.time_left =
+      frontend_.LimitToShutdown(std::chrono::milliseconds(*comment.time_budget_ms) - event.waited);
+  return event;
 }
 
 void ClientSession::OnResponse(const proxy::Response& response) {
@@ -511,6 +476,7 @@
   frontend_.request_ids_.End(client_request_id_, end, frontend_.loop_.Now());
   last_response_at_ = frontend_.loop_.Now();
   state_ = State::kReady;
+  connection_->input().SetUse(limits::MemoryUse::kRequest);
 }
 
 void ClientSession::SendError(std::string_view code, std::string_view message, std::string_view detail) {
--- a/src/frontend/client_session.h
+++ b/src/frontend/client_session.h
@@ -8,32 +8,16 @@
 #include <string>
 #include <string_view>
 
+#include "frontend/client_request.h"
 #include "frontend/request_id_registry.h"
 #include "limits/memory_budget.h"
 #include "net/connection.h"
 #include "net/descriptor_budget.h"
 #include "net/loop.h"
-#include "pg/statement.h"
 #include "proxy/ports.h"
 
 namespace lynxgrade::frontend {
 
-// A statement as the client sent it. An attempt changes nothing but the time budget `d` in its comment.
-class ClientStatement final : public proxy::Statement {
- public:
-  // Returns null, with the reason in `error`, if the statement has no well-formed comment.
-  static std::shared_ptr<ClientStatement> Parse(std::string_view text, std::string& error);
-  // Keeps the memory reserved as long as the statement exists.
-  void HoldMemory(limits::MemoryReservation memory) { memory_ = std::move(memory); }
-  std::string TextWithBudget(Duration remaining) const override;
-  const pg::Comment& comment() const { return comment_; }
-
- private:
-  std::string text_;
-  pg::Comment comment_;
-  limits::MemoryReservation memory_;
-};
-
 class Frontend;
 
 // The state machine of one client connection. Runs on the thread of the loop. Owned by the frontend through a
@@ -113,6 +97,7 @@
   bool HandleMessage();
   void HandleQuery(std::string_view text);
   void HandleRequest(std::string_view text);
+  RequestEvent MakeEvent(const ClientRequest& request, const RequestClass& request_class) const;
   void Write(std::string_view bytes);
   // Ends the request in flight.
   void EndRequest(RequestEnd end);
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -59,9 +59,7 @@
       memory_(memory),
       memory_retry_after_(
           limits::RetryAfterMemoryShortage(settings.clients_honor_retry_after, settings.max_retry_after)),
-      class_names_(std::move(classes)),
-      tenant_names_(std::move(tenants)),
-      request_classes_(settings.classes),
+      request_catalog_(std::move(classes), std::move(tenants), settings.classes),
       close_idle_server_connection_(std::move(close_idle_server_connection)),
       listener_(
           loop, [this] { return MayAccept(); },
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -86,9 +86,7 @@
   limits::MemoryBudget& memory_;
   Duration memory_retry_after_;
   MemoryCounts memory_counts_;
-  std::vector<std::string> class_names_;
-  std::vector<std::string> tenant_names_;
-  std::vector<RequestClass> request_classes_;
+  RequestCatalog request_catalog_;
   std::function<bool()> close_idle_server_connection_;
   net::Listener listener_;
   std::unordered_map<ClientSession*, std::shared_ptr<ClientSession>> sessions_;
--- a/src/limits/memory_budget.cpp
+++ b/src/limits/memory_budget.cpp
@@ -11,20 +11,32 @@
 constexpr std::size_t kMinBufferBytes = 2 * kMebibyte;
 // The other half of the spare memory is for copies in transit and for fragmentation.
 constexpr std::size_t kSpareDivisor = 2;
-constexpr std::size_t kRequestShareNumerator = 3;
-constexpr std::size_t kRequestShareDenominator = 4;
+constexpr std::size_t kShareDenominator = 4;
+constexpr std::size_t kQueuedInputShare = 2;
+constexpr std::size_t kRequestShare = 3;
 constexpr Duration kMemoryRetryAfter{250000};
 
 }  // namespace
 
 bool MemoryBudget::TryReserve(std::size_t bytes, MemoryUse use) {
-  const std::size_t limit =
-      use == MemoryUse::kRequest ? limit_ / kRequestShareDenominator * kRequestShareNumerator : limit_;
+  const std::size_t limit = LimitOf(use);
   if (reserved_ > limit || bytes > limit - reserved_) return false;
   Reserve(bytes);
   return true;
 }
 
+std::size_t MemoryBudget::LimitOf(MemoryUse use) const {
+  switch (use) {
+    case MemoryUse::kQueuedInput:
+      return limit_ / kShareDenominator * kQueuedInputShare;
+    case MemoryUse::kRequest:
+      return limit_ / kShareDenominator * kRequestShare;
+    case MemoryUse::kResponse:
+      break;
+  }
+  return limit_;
+}
+
 void MemoryBudget::Reserve(std::size_t bytes) {
   reserved_ += bytes;
   peak_ = std::max(peak_, reserved_);
--- a/src/limits/memory_budget.h
+++ b/src/limits/memory_budget.h
@@ -11,9 +11,9 @@
 
 namespace lynxgrade::limits {
 
-// What memory is reserved for. Requests leave a part of the budget to responses, so that requests that have
-// been accepted can be completed.
-enum class MemoryUse { kRequest, kResponse };
+// What memory is reserved for. Input queued behind a request in flight leaves a part of the budget to other
+// requests, and requests leave a part to responses, so that what has been accepted can be completed.
+enum class MemoryUse { kQueuedInput, kRequest, kResponse };
 
 // Counts reserved bytes against a limit. Used on one thread.
 class MemoryBudget {
@@ -21,6 +21,7 @@
   static constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
 
   explicit MemoryBudget(std::size_t limit = kUnlimited) : limit_(limit) {}
+  ~MemoryBudget() = default;
   MemoryBudget(const MemoryBudget&) = delete;
   MemoryBudget& operator=(const MemoryBudget&) = delete;
 
@@ -40,6 +41,8 @@
   std::size_t peak() const { return peak_; }
 
  private:
+  std::size_t LimitOf(MemoryUse use) const;
+
   std::size_t limit_;
   std::size_t reserved_ = 0;
   std::size_t peak_ = 0;
@@ -55,6 +58,8 @@
   ~MemoryReservation() {
     if (budget_ != nullptr) budget_->Release(bytes_);
   }
+  MemoryReservation(const MemoryReservation&) = delete;
+  MemoryReservation& operator=(const MemoryReservation&) = delete;
   MemoryReservation(MemoryReservation&& other) noexcept
       : budget_(std::exchange(other.budget_, nullptr)), bytes_(other.bytes_) {}
   MemoryReservation& operator=(MemoryReservation&& other) noexcept {
--- a/src/net/ring_buffer.cpp
+++ b/src/net/ring_buffer.cpp
@@ -31,7 +31,7 @@
 }
 
 RingBuffer::Span RingBuffer::WritableSpan() {
-  if (size_ >= limit_) return {};
+  if (size_ == limit_) return {};
   if (size_ == capacity_) {
     const std::size_t capacity = std::min(std::max(kInitialCapacity, capacity_ * 2), limit_);
     starved_ = !ReserveForInput(capacity);
@@ -40,7 +40,7 @@
   }
   const std::size_t tail = (head_ + size_) % capacity_;
   const std::size_t end = tail < head_ ? head_ : capacity_;
-  return {data_.get() + tail, std::min(end - tail, limit_ - size_)};
+  return {data_.get() + tail, end - tail};
 }
 
 bool RingBuffer::holds_large_block() const { return capacity_ > kInitialCapacity; }
--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -24,9 +24,12 @@
 
   std::size_t size() const { return size_; }
   bool empty() const { return size_ == 0; }
-  std::size_t free_space() const { return size_ < limit_ ? limit_ - size_ : 0; }
-  // A lower limit than the size keeps the content.
-  void SetLimit(std::size_t limit) { limit_ = limit; }
+  std::size_t free_space() const { return limit_ - size_; }
+  // What further memory is reserved for. There may be memory for one use and none for another.
+  void SetUse(limits::MemoryUse use) {
+    use_ = use;
+    starved_ = false;
+  }
   std::size_t capacity() const { return capacity_; }
 
   // Appends all of `bytes`, or returns false and appends nothing if they would exceed the limit.
--- a/tests/limits/memory_budget_test.cpp
+++ b/tests/limits/memory_budget_test.cpp
@@ -6,9 +6,11 @@
 namespace lynxgrade::limits {
 namespace {
 
-TEST_CASE("requests leave a quarter of the budget to responses") {
+TEST_CASE("queued input leaves half of the budget, and requests a quarter") {
   MemoryBudget budget(1000);
-  CHECK(budget.TryReserve(750, MemoryUse::kRequest));
+  CHECK(budget.TryReserve(500, MemoryUse::kQueuedInput));
+  CHECK_FALSE(budget.TryReserve(1, MemoryUse::kQueuedInput));
+  CHECK(budget.TryReserve(250, MemoryUse::kRequest));
   CHECK_FALSE(budget.TryReserve(1, MemoryUse::kRequest));
   CHECK(budget.TryReserve(250, MemoryUse::kResponse));
   CHECK_FALSE(budget.TryReserve(1, MemoryUse::kResponse));
--- a/tests/proxy/memory_limit_test.cpp
+++ b/tests/proxy/memory_limit_test.cpp
@@ -47,7 +47,7 @@
   LimitedPooler() {
     RaiseDescriptorLimit();
     fleet.AddServer([this](TestConnection& connection, const std::string&) {
-      connection.Send(LargeRowResponse(response_bytes));
+      if (responds) connection.Send(LargeRowResponse(response_bytes));
     });
     const std::string known = R"({"rev":41,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:)" +
                               std::to_string(fleet.servers.front()->listener.port()) +
@@ -113,6 +113,7 @@
     CHECK(peak * 1024 <= kMemoryLimitMb * 1000 * 1000);
 #endif
     // Another client is served as usual.
+    responds = true;
     response_bytes = 1;
     TestConnection& client = process.ConnectClient({RequestText("any")});
     fleet.RunUntil([&] { return client.MessageTypes().ends_with("TDCZ"); });
@@ -120,6 +121,7 @@
 
   SimulatedFleet fleet{4096};
   PoolerProcess process{fleet};
+  bool responds = true;
   std::size_t response_bytes = 1;
   std::size_t startup_bytes = 0;
 };
@@ -188,6 +190,17 @@
   pooler.CheckWithinLimits();
 }
 
+TEST_CASE("input that is queued behind requests in flight does not exhaust the memory") {
+  LimitedPooler pooler;
+  pooler.responds = false;
+  const auto clients = pooler.ConnectClients(kClients);
+  std::string requests;
+  while (requests.size() < kLargeMessageBytes) requests += QueryMessage(RequestText("any"));
+  for (const auto& client : clients) client->SendNonBlocking(requests);
+  pooler.RunFor(Duration(3500000));
+  pooler.CheckWithinLimits();
+}
+
 TEST_CASE("connections that were used once and rest do not exhaust the memory") {
   LimitedPooler pooler;
   pooler.response_bytes = 10000;
