--- a/src/frontend/client_session.cpp
+++ b/src/frontend/client_session.cpp
@@ -78,13 +78,17 @@
 }
 
 void ClientSession::Expire() {
+  ClosedClientCounts& closed = frontend_.closed_clients_;
+  if (phase_ == Phase::kSendingResponse) ++closed.unread_response;
   if (phase_ == Phase::kClosing || phase_ == Phase::kSendingResponse) return Close();
   if (connection_->input().empty() && !IsDiscarding()) {
     // Input that has arrived is processed in this loop iteration or the next and receives a response instead
     // of a close. An incomplete message, on the other hand, has timed out even if more of it arrives.
-    return connection_->HasPendingInput() ? frontend_.MoveToPhase(*this, *phase_, frontend_.loop_.Now())
-                                          : CloseGracefully();
+    if (connection_->HasPendingInput()) return frontend_.MoveToPhase(*this, *phase_, frontend_.loop_.Now());
+    ++(phase_ == Phase::kIdle ? closed.idle : closed.incomplete_input);
+    return CloseGracefully();
   }
+  ++closed.incomplete_input;
   if (frontend_.stopping()) return FailConnection("57P03", "the pooler is stopping");
   FailConnection("08P01", "a message was begun and not ended in time");
 }
@@ -107,7 +111,7 @@
 
 void ClientSession::CancelRequest() {
   const bool attempted = frontend_.proxy_.CancelRequest(request_id_);
-  EndRequest(attempted ? RequestEnd::kMayHaveRun : RequestEnd::kRepeatable);
+  EndRequest(attempted ? RequestEnd::kMayHaveRun : RequestEnd::kRepeatable, "cancelled");
 }
 
 void ClientSession::AbortRequest() {
@@ -437,7 +441,7 @@
 }
 
 void ClientSession::OnResponse(const proxy::Response& response) {
-  EndRequest(EndAfterAnswer());
+  EndRequest(EndAfterAnswer(), "served");
   std::string out;
   out.reserve(response.row_description.size() + response.data_row.size() + response.command_tag.size() + 32);
   pg::AppendMessage(out, 'T', response.row_description);
@@ -448,7 +452,7 @@
 
 // The SQLSTATE tells the client that a retry is safe; the detail is the Retry-After in milliseconds.
 void ClientSession::OnRejected(Duration retry_after) {
-  EndRequest(RequestEnd::kRepeatable);
+  EndRequest(RequestEnd::kRepeatable, "rejected");
   SendRejection("too much to do to answer in time", retry_after);
 }
 
@@ -458,12 +462,12 @@
 }
 
 void ClientSession::OnFailed() {
-  EndRequest(EndAfterAnswer());
+  EndRequest(EndAfterAnswer(), "failed");
   SendError("58000", "no data server has answered; whether it has run is not known");
 }
 
 void ClientSession::OnInvalidStatement() {
-  EndRequest(RequestEnd::kRepeatable);
+  EndRequest(RequestEnd::kRepeatable, "invalid statement");
   SendError("42601", "the data server cannot use this statement");
 }
 
@@ -472,7 +476,10 @@
   return request_idempotent_ ? RequestEnd::kRepeatable : RequestEnd::kMayHaveRun;
 }
 
-void ClientSession::EndRequest(RequestEnd end) {
+void ClientSession::EndRequest(RequestEnd end, std::string_view how) {
+  spdlog::debug("client request: {}; request={} id={} after_us={}", how,
+                static_cast<std::uint32_t>(request_id_), client_request_id_,
+                (frontend_.loop_.PreciseNow() - message_received_at_).count());
   frontend_.request_ids_.End(client_request_id_, end, frontend_.loop_.Now());
   last_response_at_ = frontend_.loop_.Now();
   state_ = State::kReady;
@@ -499,6 +506,7 @@
 }
 
 void ClientSession::FailConnection(std::string_view code, std::string_view message) {
+  ++frontend_.closed_clients_.protocol_errors;
   std::uint64_t suppressed = 0;
   if (frontend_.error_log_limit_.Allows(suppressed)) {
     spdlog::info("client connection failed: cause=\"{}\" sqlstate={} suppressed={}", message, code,
--- a/src/frontend/client_session.h
+++ b/src/frontend/client_session.h
@@ -99,8 +99,8 @@
   void HandleRequest(std::string_view text);
   RequestEvent MakeEvent(const ClientRequest& request, const RequestClass& request_class) const;
   void Write(std::string_view bytes);
-  // Ends the request in flight.
-  void EndRequest(RequestEnd end);
+  // Ends the request in flight. `how` is for the log.
+  void EndRequest(RequestEnd end, std::string_view how);
   RequestEnd EndAfterAnswer() const;
   void SendResponse(std::string& bytes);
   // Cancels the request in flight, whose client has left or has asked for it.
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -125,6 +125,7 @@
     if (candidates != &closing && !session->HasNoUnreadInput()) continue;
     const auto keep_alive = sessions_.at(session);
     keep_alive->Close();
+    ++closed_clients_.descriptors;
     return true;
   }
   return false;
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -27,6 +27,15 @@
   std::uint64_t closed_clients = 0;     // that did not read their responses
 };
 
+// Why connections of clients were closed by the pooler. Totals since the start.
+struct ClosedClientCounts {
+  std::uint64_t idle = 0;
+  std::uint64_t incomplete_input = 0;  // the startup or a message did not end in time
+  std::uint64_t unread_response = 0;
+  std::uint64_t descriptors = 0;  // to free a descriptor
+  std::uint64_t protocol_errors = 0;
+};
+
 // Owns all client sessions. Runs on the thread of the loop.
 class Frontend {
  public:
@@ -51,6 +60,7 @@
   bool CloseLeastActive();
   std::size_t sessions() const { return sessions_.size(); }
   const MemoryCounts& memory_counts() const { return memory_counts_; }
+  const ClosedClientCounts& closed_clients() const { return closed_clients_; }
 
  private:
   friend class ClientSession;
@@ -86,6 +96,7 @@
   limits::MemoryBudget& memory_;
   Duration memory_retry_after_;
   MemoryCounts memory_counts_;
+  ClosedClientCounts closed_clients_;
   RequestCatalog request_catalog_;
   std::function<bool()> close_idle_server_connection_;
   net::Listener listener_;
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -172,10 +172,12 @@
       requests.attempts, requests.health_checks, proxy.requests_in_flight(), budget_.clients(),
       budget_.backends(), pool_.idle());
   const upstream::ConnectionCounts& connections = pool_.counts();
-  spdlog::info("server connections: opened={} barrier_queries={} barrier_rejections={} barrier_failures={}",
-               connections.opened, connections.barrier_queries, connections.barrier_rejections,
-               connections.barrier_failures);
-  LogMemoryReport();
+  spdlog::info(
+      "server connections: opened={} barrier_queries={} barrier_rejections={} barrier_failures={} "
+      "postponed_attempts={}",
+      connections.opened, connections.barrier_queries, connections.barrier_rejections,
+      connections.barrier_failures, connections.postponed_attempts);
+  LogClientReport();
   const consistency::SessionConsistencyGuard& guard = proxy.consistency_guard();
   if (guard.scope() == consistency::Scope::kEverywhere) {
     const consistency::SessionConsistencyCounts& sessions = guard.counts();
@@ -189,7 +191,7 @@
   report_timer_.ScheduleAfter(kReportInterval, [this] { LogReport(); });
 }
 
-void Pooler::LogMemoryReport() const {
+void Pooler::LogClientReport() const {
   const frontend::MemoryCounts& given_up = frontend_.memory_counts();
   const std::size_t limit = memory_.limit() == limits::MemoryBudget::kUnlimited ? 0 : memory_.limit();
   spdlog::info(
@@ -197,6 +199,11 @@
       "closed_clients={}",
       limit, memory_.reserved(), memory_.peak(), given_up.discarded_messages, given_up.rejected_requests,
       given_up.closed_clients);
+  const frontend::ClosedClientCounts& closed = frontend_.closed_clients();
+  spdlog::info(
+      "clients closed: idle={} incomplete_input={} unread_response={} descriptors={} protocol_errors={}",
+      closed.idle, closed.incomplete_input, closed.unread_response, closed.descriptors,
+      closed.protocol_errors);
 }
 
 }  // namespace lynxgrade
--- a/src/pooler.h
+++ b/src/pooler.h
@@ -44,7 +44,7 @@
   void BecomeReadyUnlisted();
   void BecomeReady();
   void LogReport();
-  void LogMemoryReport() const;
+  void LogClientReport() const;
 
   const PlatformConfig& config_;
   const ProgramSettings& settings_;
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -196,6 +196,10 @@
 void ConnectionPool::PostponeFirst(ServerPool& server) {
   const std::shared_ptr<Attempt> attempt = server.waiting.front();
   server.waiting.pop_front();
+  ++counts_.postponed_attempts;
+  spdlog::debug("attempt postponed, its client may have left; server={} request={} attempt={}",
+                static_cast<std::uint32_t>(server.id), static_cast<std::uint32_t>(attempt->request),
+                attempt->number);
   attempt->postpone_timer.ScheduleAfter(kPostponeInterval, [this, weak = std::weak_ptr<Attempt>(attempt)] {
     if (auto postponed = weak.lock()) Requeue(std::move(postponed));
   });
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -35,6 +35,7 @@
   std::uint64_t barrier_queries = 0;
   std::uint64_t barrier_rejections = 0;  // answered by an error that rejects empty queries
   std::uint64_t barrier_failures = 0;    // connections that were lost or closed before the response
+  std::uint64_t postponed_attempts = 0;  // as their client may have left
 };
 
 class ServerConnection;
