--- a/src/frontend/request_id_registry.h
+++ b/src/frontend/request_id_registry.h
@@ -10,8 +10,8 @@
 
 namespace lynxgrade::frontend {
 
-// Whether the id of a request that has ended may run again: kRepeatable: it never ran, or it is idempotent and
-// its client has the answer; kMayHaveRun: a second run could repeat an effect, or run beside the first.
+// Whether the id of a request that has ended may run again: kRepeatable: it never ran, or it is idempotent
+// and its client has the answer; kMayHaveRun: a second run could repeat an effect, or run beside the first.
 enum class RequestEnd { kRepeatable, kMayHaveRun };
 
 // Remembers the ids of the requests in flight, and for a while those that may have run. Bounded: of the
