--- a/tests/limits/memory_budget_test.cpp
+++ b/tests/limits/memory_budget_test.cpp
@@ -42,7 +42,7 @@
 }
 
 TEST_CASE("at each size that the pages name, program, connections and buffers fit into the limit") {
-  constexpr std::size_t kMegabyte = 1000 * 1000;
+  constexpr std::size_t kMegabyte = 1000000;
   for (const std::size_t megabytes : {32, 64, 192, 2048}) {
     for (const std::size_t descriptors : {256, 1024}) {
       const std::size_t buffers = BufferMemoryLimit(megabytes * kMegabyte, descriptors);
