Show memory that the budget misses: ids, parts of responses, long errors

A session keeps the id of its last request (any length); messages of a response leave the counted buffer before the response ends; a data server's error text stays with the connection.

--- a/tests/proxy/memory_limit_test.cpp
+++ b/tests/proxy/memory_limit_test.cpp
@@ -113,7 +113,7 @@
     CHECK(peak * 1024 <= kMemoryLimitMb * 1000 * 1000);
 #endif
   }
-  // Another client is answered each time, and served once the pooler no longer expects long queues.
+  // Every request of another client is answered, and one of them is served.
   void CheckServesOthers() {
     responds = true;
     response_bytes = 1;
@@ -220,6 +220,22 @@
   pooler.CheckServesOthers();
 }
 
+TEST_CASE("ids and names that fill a request are not kept once it has ended") {
+  LimitedPooler pooler;
+  const auto clients = pooler.ConnectClients(kClients);
+  SetStartupBytes(pooler, clients);
+  const std::string name(kLargeMessageBytes / 2 - 1000, 'n');
+  for (const auto& client : clients) {
+    std::string text = RequestText("any", name.c_str());
+    text.replace(text.find("id="), 3, "id=" + name);
+    client->received.clear();
+    client->Send(QueryMessage(text));
+    pooler.fleet.RunUntil([&] { return client->ReadAvailable().ends_with('I') || client->peer_closed; });
+  }
+  pooler.CheckWithinLimits();
+  pooler.CheckServesOthers();
+}
+
 TEST_CASE("connections that were used once and rest do not exhaust the memory") {
   LimitedPooler pooler;
   pooler.response_bytes = 10000;
--- a/tests/upstream/connection_reuse_test.cpp
+++ b/tests/upstream/connection_reuse_test.cpp
@@ -473,5 +473,40 @@
   }
 }
 
+TEST_CASE("the memory of a response counts until it has ended, though its messages have been read") {
+  PoolFixture fixture;
+  fixture.OpenConnection();
+  const std::size_t at_rest = fixture.memory.reserved();
+  constexpr std::size_t kNameBytes = 60000;
+  std::string description = kRowDescription;
+  description.insert(2, std::string(kNameBytes, 'n'));
+  std::string unfinished;
+  pg::AppendMessage(unfinished, 'T', description);
+  fixture.server.on_query = [&](TestConnection& connection, const std::string&) {
+    connection.Send(unfinished);
+  };
+  fixture.Send(1000);
+  RunLoopUntil([&] { return fixture.memory.reserved() >= at_rest + kNameBytes; }, fixture.loop);
+  RunLoopUntil([&] { return fixture.attempt_results.size() == 2; }, fixture.loop);
+  CHECK(fixture.attempt_results.back().outcome == Outcome::kError);
+  CHECK(fixture.memory.reserved() <= at_rest);
+}
+
+TEST_CASE("a connection whose data server sends a long error is not kept for reuse") {
+  PoolFixture fixture;
+  fixture.OpenConnection();
+  std::string response;
+  pg::AppendErrorResponse(response, "ERROR", "XX000", std::string(60000, 'e'));
+  pg::AppendReadyForQuery(response);
+  fixture.server.on_query = [&](TestConnection& connection, const std::string&) {
+    connection.Send(response);
+  };
+  fixture.Send(1000);
+  RunLoopUntil([&] { return fixture.attempt_results.size() == 2; }, fixture.loop);
+  CHECK(fixture.attempt_results.back().outcome == Outcome::kError);
+  CHECK(fixture.pool.idle() == 0);
+  CHECK(fixture.pool.counts().barrier_queries == 1);
+}
+
 }  // namespace
 }  // namespace lynxgrade
