Free the id of a request when it ends, and count what copies it

Cause: a session kept the string of its last request's id, as long as the client chose. Change: it is freed with the request, and a statement reserves a third copy for its id and its session's name.

--- a/src/frontend/client_session.cpp
+++ b/src/frontend/client_session.cpp
@@ -23,8 +23,9 @@
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{256} * 1024;
 // A statement up to this size needs no memory of the budget.
 constexpr std::size_t kSmallStatementBytes = 2048;
-// A statement is held as text, and once more by a connection whose data server does not read it at once.
-constexpr std::size_t kStatementCopies = 2;
+// A statement is held as text, and once more by a connection whose data server does not read it at once. Its
+// id and the name of its session, which may fill it, are held apart.
+constexpr std::size_t kStatementCopies = 3;
 // No attempt may start later than 0.1 s after its client has disconnected. One interval takes less than half
 // of that, which leaves time for the reset that reveals the disconnect.
 constexpr Duration kPresenceCheckInterval{40000};
@@ -481,6 +482,7 @@
                 static_cast<std::uint32_t>(request_id_), client_request_id_,
                 (frontend_.loop_.PreciseNow() - message_received_at_).count());
   frontend_.request_ids_.End(client_request_id_, end, frontend_.loop_.Now());
+  std::string().swap(client_request_id_);  // frees its memory, unlike an assignment
   last_response_at_ = frontend_.loop_.Now();
   state_ = State::kReady;
   connection_->input().SetUse(limits::MemoryUse::kRequest);
