--- a/src/frontend/client_session.cpp
+++ b/src/frontend/client_session.cpp
@@ -29,12 +29,6 @@
 // No attempt may start later than 0.1 s after its client has disconnected. One interval takes less than half
 // of that, which leaves time for the reset that reveals the disconnect.
 constexpr Duration kPresenceCheckInterval{40000};
-// An attempt is sent if its client is known to have been connected this long ago.
-constexpr Duration kMaxPresenceAge{50000};
-// Several round trips between zones.
-constexpr Duration kPresenceReplyTime{10000};
-// After a stall, the time in which the loop reads what has arrived meanwhile, also on new connections.
-constexpr Duration kStallRecoveryTime{5000};
 
 // Whether the text starts with a word in upper-case letters, in any case.
 bool StartsWithWord(std::string_view text, std::string_view word) {
@@ -60,6 +54,7 @@
 ClientSession::ClientSession(Frontend& frontend, net::DescriptorBudget& budget)
     : frontend_(frontend),
       slot_(budget.clients()),
+      presence_(frontend.loop_),
       resume_timer_(frontend.loop_),
       presence_timer_(frontend.loop_) {}
 
@@ -159,41 +154,7 @@
   if (state_ != State::kInFlight) return;
   connection_->RecordUnreadArrivals();
   presence_timer_.ScheduleAfter(kPresenceCheckInterval, [this] { CheckClientPresence(); });
-  EvaluatePresenceProbe();
-  SendPresenceProbe();
-}
-
-// Clients ignore the notice. Nothing but the reset reveals the close: the client's FIN has been read already,
-// or is queued behind input for which the ring buffer has no room.
-void ClientSession::SendPresenceProbe() {
-  std::string notice;
-  pg::AppendNoticeResponse(notice, "still at work");
-  if (!presence_probe_sent_at_) presence_probe_sent_at_ = frontend_.loop_.PreciseNow();
-  connection_->Write(notice);  // the poller reports a connection that is broken
-}
-
-void ClientSession::EvaluatePresenceProbe() {
-  if (!presence_probe_sent_at_ || !connection_->all_written()) return;
-  if (frontend_.loop_.PreciseNow() - *presence_probe_sent_at_ < kPresenceReplyTime) return;
-  if (!connection_->HasHungUp()) present_at_ = std::max(present_at_, *presence_probe_sent_at_);
-  presence_probe_sent_at_.reset();
-}
-
-// A request proves that its client was connected when it arrived. Later, a client is connected if it has not
-// shut down its sending side and nothing unread could hide that; else only a probe tells.
-bool ClientSession::ConfirmPresence() {
-  const auto is_recent = [this] { return frontend_.loop_.PreciseNow() - present_at_ <= kMaxPresenceAge; };
-  if (is_recent()) return true;
-  // A cancellation or a close that came during a stall has to be read first.
-  if (frontend_.loop_.Now() - frontend_.loop_.last_stall() < kStallRecoveryTime) return false;
-  if (!connection_->HasPendingInput()) {
-    present_at_ = frontend_.loop_.PreciseNow();
-    return true;
-  }
-  EvaluatePresenceProbe();
-  if (is_recent()) return true;
-  if (!presence_probe_sent_at_) SendPresenceProbe();
-  return false;
+  presence_.Probe(*connection_);
 }
 
 void ClientSession::ProcessMessages() {
@@ -408,7 +369,7 @@
   read->statement->HoldMemory(std::move(*memory));
   const RequestClass& request_class = frontend_.request_catalog_.ClassOf(*read);
   proxy::Request request{MakeEvent(*read, request_class), read->statement};
-  present_at_ = std::max(present_at_, message_received_at_);
+  presence_.RecordArrival(message_received_at_);
   state_ = State::kInFlight;
   connection_->input().SetUse(limits::MemoryUse::kQueuedInput);
   accept_cancels_from_ = std::max(frontend_.loop_.Now(), last_response_at_ + Duration(1));
--- a/src/frontend/client_session.h
+++ b/src/frontend/client_session.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "frontend/client_presence.h"
 #include "frontend/client_request.h"
 #include "frontend/request_id_registry.h"
 #include "limits/memory_budget.h"
@@ -73,17 +74,13 @@
   void OnRejected(Duration retry_after) override;
   void OnFailed() override;
   void OnInvalidStatement() override;
-  bool ConfirmPresence() override;
+  bool ConfirmPresence() override { return presence_.Confirm(*connection_); }
 
   friend class Frontend;
 
   void ProcessInput();
   // Checks that a client is still connected whose input is not being read or has ended.
   void CheckClientPresence();
-  // Writes a notice, to which the host of a client that has closed replies with a reset.
-  void SendPresenceProbe();
-  // Evaluates the latest notice, if there has been time for a reply.
-  void EvaluatePresenceProbe();
   void ProcessMessages();
   void UpdatePhase();
   bool IsDiscarding() const { return discard_remaining_ > 0; }
@@ -111,20 +108,19 @@
 
   Frontend& frontend_;
   net::DescriptorSlot slot_;
+  ClientPresence presence_;
   std::shared_ptr<net::Connection> connection_;
   State state_ = State::kStartup;
   bool processing_ = false;
   std::uint32_t process_id_ = 0;  // with secret_, the key for CancelRequest; 0 before startup
   std::uint32_t secret_ = 0;
   RequestId request_id_{};
-  TimePoint message_received_at_{};                  // when the last byte of the current message arrived
-  TimePoint reading_resumed_at_{};                   // when reading resumed after the ring buffer was full
-  TimePoint last_response_at_{};                     // when the response to the last request was written
-  TimePoint present_at_{};                           // the client was connected then or later
-  std::optional<TimePoint> presence_probe_sent_at_;  // of a notice that has not been evaluated
-  TimePoint accept_cancels_from_{};                  // an earlier CancelRequest refers to an earlier request
-  std::string client_request_id_;                    // the client's id of the request in flight
-  bool request_idempotent_ = false;                  // of the request in flight
+  TimePoint message_received_at_{};  // when the last byte of the current message arrived
+  TimePoint reading_resumed_at_{};   // when reading resumed after the ring buffer was full
+  TimePoint last_response_at_{};     // when the response to the last request was written
+  TimePoint accept_cancels_from_{};  // an earlier CancelRequest refers to an earlier request
+  std::string client_request_id_;    // the client's id of the request in flight
+  bool request_idempotent_ = false;  // of the request in flight
   std::size_t discarded_bytes_ = 0;
   std::size_t discard_remaining_ = 0;  // bytes to come of a message that is discarded
   TimePoint discard_message_since_{};  // when its first byte arrived
