Date input that waited for a later pass before the first, and prove presence 40 ms

Cause: a pass handles 64 ready sockets; input that a burst left for later passes was dated by those, so it passed for fresh. Change: while a pass fills its 64, EarliestArrival stays. A wake-up that comes up to 55 ms late is not seen either, so 40 ms are allowed in place of 50.

--- a/src/frontend/client_presence.cpp
+++ b/src/frontend/client_presence.cpp
@@ -8,8 +8,9 @@
 namespace lynxgrade::frontend {
 namespace {
 
-// No attempt may begin later than 0.1 s after its client has disconnected.
-constexpr Duration kMaxPresenceAge{50000};
+// No attempt may begin later than 0.1 s after its client has disconnected. The time of an arrival is known to
+// about 55 ms, a tick of the decision module and a late wake-up.
+constexpr Duration kMaxPresenceAge{40000};
 // Several round trips between zones.
 constexpr Duration kProbeReplyTime{10000};
 // After a stall, the time in which the loop reads what has arrived meanwhile, also on new connections.
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -53,14 +53,16 @@
   if (g_loop == nullptr) return ready;
   const TimePoint now = g_loop->PreciseNow();
   const Duration waited = now - entered;
+  TimePoint earliest = now;
   if (timeout == 0 || waited < kImmediatePoll) {
-    g_loop->earliest_arrival_ = g_loop->now_;  // the events may have arrived at any time in the last pass
-  } else {
-    // If the poll returns too late, the process was stopped at some time after it began to wait.
-    const bool late = timeout > 0 && waited > std::chrono::milliseconds(timeout) + kMaxWakeupDelay;
-    g_loop->earliest_arrival_ = late ? entered : now;
+    earliest = g_loop->now_;  // the events may have arrived at any time in the last pass
+  } else if (timeout > 0 && waited > std::chrono::milliseconds(timeout) + kMaxWakeupDelay) {
+    earliest = entered;  // the process was stopped at some time after it began to wait
   }
-  if (now - g_loop->earliest_arrival_ > kMinStall) g_loop->last_stall_ = now;
+  if (now - earliest > kMinStall) g_loop->last_stall_ = now;
+  // Events that earlier passes left over have arrived before those.
+  const bool has_backlog = g_loop->poller_.has_backlog();
+  g_loop->earliest_arrival_ = has_backlog ? std::min(earliest, g_loop->earliest_arrival_) : earliest;
   g_loop->now_ = now;
   return ready;
 }
--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -60,6 +60,7 @@
 void Poller::Dispatch() {
   std::array<epoll_event, kMaxEventsPerWait> events;
   const int count = epoll_wait(epoll_descriptor_, events.data(), kMaxEventsPerWait, 0);
+  has_backlog_ = count == kMaxEventsPerWait;
   for (int i = 0; i < count; ++i) {
     const epoll_event& event = events[static_cast<std::size_t>(i)];
     const Watched& watched = watched_[static_cast<std::uint32_t>(event.data.u64)];
--- a/src/net/poller.h
+++ b/src/net/poller.h
@@ -32,6 +32,8 @@
   // outlive the watch.
   void Add(int descriptor, std::uint32_t events, Handler& handler);
   void Change(int descriptor, std::uint32_t events);
+  // Whether more descriptors may have been ready than the latest pass has handled.
+  bool has_backlog() const { return has_backlog_; }
   // Must be called before the descriptor is closed.
   void Remove(int descriptor);
 
@@ -48,6 +50,7 @@
   void Control(int operation, int descriptor, std::uint32_t events);
 
   int epoll_descriptor_;
+  bool has_backlog_ = false;
   std::vector<Watched> watched_;
   SourcePtr source_;
 };
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -3,8 +3,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "net/connection.h"
@@ -105,6 +109,46 @@
   CHECK(count_polled_descriptors() <= before);
 }
 
+// More sockets become readable at once than one pass handles.
+TEST_CASE("input that had to wait for a later pass counts as arrived before the first") {
+  struct SlowReader final : Connection::Owner {
+    explicit SlowReader(Loop& loop) : loop(loop) {}
+    void OnReadable() override {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      latest_estimate = std::max(latest_estimate, loop.EarliestArrival());
+      ++reads;
+    }
+    void OnEndOfStream() override {}
+    void OnDisconnected() override {}
+    Loop& loop;
+    TimePoint latest_estimate{};
+    int reads = 0;
+  };
+  constexpr int kConnections = 200;
+  Loop loop;
+  SlowReader reader(loop);
+  std::vector<std::shared_ptr<Connection>> accepted;
+  Listener listener(
+      loop, [] { return true; },
+      [&](ObjectPtr<GSocket> socket) {
+        accepted.push_back(Connection::Adopt(loop, std::move(socket), reader, 4096, 4096));
+      });
+  REQUIRE(listener.Open({"127.0.0.1", 0}));
+  std::vector<std::shared_ptr<Connection>> clients;
+  while (clients.size() < kConnections) {
+    bool out_of_descriptors = false;
+    clients.push_back(
+        Connection::Connect(loop, {"127.0.0.1", listener.port()}, reader, 4096, 4096, &out_of_descriptors));
+  }
+  const auto is_connected = [](const auto& client) { return client->connected(); };
+  while (accepted.size() < kConnections || !std::ranges::all_of(clients, is_connected))
+    g_main_context_iteration(nullptr, TRUE);
+  for (const auto& client : clients) REQUIRE(send(client->descriptor(), "x", 1, 0) == 1);
+  const TimePoint sent = loop.PreciseNow();
+  while (reader.reads < kConnections) g_main_context_iteration(nullptr, TRUE);
+  CHECK(reader.latest_estimate <= sent);
+}
+
 TEST_CASE("a ring buffer keeps its bytes in order while it wraps and grows") {
   constexpr std::size_t kMaxRingBytes = std::size_t{64} * 1024;
   RingBuffer ring(kMaxRingBytes);
