--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -73,6 +73,7 @@
   attempts_[{request, number}] = attempt;
   // The limits count from the loop time, at which the routing decision was made, however long the iteration
   // has run since.
+  attempt->decided_at = loop_.Now();
   if (timeouts.write_timeout != Duration::max())
     attempt->write_deadline = loop_.Now() + timeouts.write_timeout;
   attempt->deadline = loop_.Now() + timeouts.timeout;
@@ -82,6 +83,7 @@
 void ConnectionPool::StartHealthCheck(ServerId server) {
   if (health_checks_.contains(server)) return;  // the result of the one in flight is reported for both
   auto attempt = std::make_shared<Attempt>(loop_, server);
+  attempt->decided_at = loop_.Now();
   health_checks_[server] = attempt;
   attempt->deadline = loop_.PreciseNow() + settings_.connect_timeout;
   Enqueue(std::move(attempt));
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -51,6 +51,7 @@
   RequestId request{};
   AttemptNumber number = 0;
   std::shared_ptr<const proxy::Statement> statement;  // null for a health check
+  TimePoint decided_at{};                             // the time by which the routing decision was made
   TimePoint queued_at{};                              // when it began to wait for a connection
   std::optional<TimePoint> sent_at{};                 // when it was assigned a connection
   TimePoint deadline{};                               // until which the response must be complete
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -95,10 +95,11 @@
 
 void ServerConnection::LogQueryWritten(std::string_view text, TimePoint now) const {
   spdlog::debug(
-      "data server connection: query written; server={} descriptor={} request={} attempt={} id={} idle_us={}",
+      "data server connection: query written; server={} descriptor={} request={} attempt={} id={} idle_us={} "
+      "since_decision_us={}",
       static_cast<std::uint32_t>(server_.id), connection_->descriptor(),
       static_cast<std::uint32_t>(attempt_->request), attempt_->number, ClientRequestId(text),
-      (now - idle_since_).count());
+      (now - idle_since_).count(), (now - attempt_->decided_at).count());
 }
 
 void ServerConnection::LogResponse(const Attempt& attempt, const ResponseReader& response) const {
