Judge the age of a bounded read's data when its last byte is sent, not when it is routed

A replica whose log has reached P holds all that was committed by P from then on. So what is sent by P + bound is within the bound. That time is now asked of the decision module when the attempt begins to wait, when the time has come, and right before the statement is written (Balancer::SendDeadline): newer reports extend it, the word that a primary is none ends it. An attempt that misses it is not sent (kSendExpired): it blames no server, takes nothing from the budget and the number of attempts, and is routed again at once. After the write the clock is read again, and the kernel is asked whether it has sent all: what may have left too late is ended and its response not used (kSentLate), however long the process was held up in between. The rest of a statement that waits in the buffer is not written after its deadline, repeats within their window included, whatever the loop does first.

--- a/src/estimation/replica_position.h
+++ b/src/estimation/replica_position.h
@@ -22,6 +22,8 @@
   // Records a report of the position, received at `now`. Returns false if it repeats a recent one.
   bool RecordPosition(Instant now, Instant position);
 
+  // The newest position that the server is proven to have reached.
+  std::optional<Instant> proven() const { return proven_; }
   // Whether the server is proven to have reached `target`.
   bool IsProven(Instant target) const { return proven_ && *proven_ >= target; }
   // The position extrapolated to `now` at the measured apply rate, which is limited to the clock's.
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,7 +1,8 @@
 #include "net/connection.h"
 
+// This header has all fields of tcp_info, unlike <netinet/tcp.h>.
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <charconv>
@@ -132,6 +133,7 @@
   // Input that arrived before a hang-up is read first, unless reading is paused or has ended.
   if (broken_ || (hung_up && (end_of_stream_ || paused_))) return ReportDisconnect();
   if ((events & EPOLLOUT) != 0 && awaiting_writable_) {
+    if (!owner_->MayFlush()) return;
     Flush();
     if (!closed() && !broken_ && output_.empty()) owner_->OnOutputFlushed();
   }
@@ -293,6 +295,15 @@
   return closed() || broken_ || end_of_stream_ || g_socket_condition_check(socket_.get(), G_IO_IN) != 0;
 }
 
+bool Connection::HasUnsentBytesInKernel() const {
+  if (closed()) return false;
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(descriptor(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return false;
+  if (size < offsetof(tcp_info, tcpi_notsent_bytes) + sizeof info.tcpi_notsent_bytes) return false;
+  return info.tcpi_notsent_bytes > 0;
+}
+
 bool Connection::HasHungUp() const {
   constexpr auto kHangUp = static_cast<GIOCondition>(G_IO_HUP | G_IO_ERR);
   return closed() || broken_ || g_socket_condition_check(socket_.get(), kHangUp) != 0;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -36,6 +36,9 @@
     // There is no memory for more input. Returns true if some has been freed. Otherwise, unless the owner
     // consumes input in OnReadable, reading is paused until the owner resumes it.
     virtual bool OnInputStarved() { return false; }
+    // Called before buffered output is sent. Returns false if it must not be: the owner has closed the
+    // connection.
+    virtual bool MayFlush() { return true; }
     virtual void OnOutputFlushed() {}   // the output buffer has become empty
     virtual void OnEndOfStream() = 0;   // the peer has shut down its sending side; all bytes have been read
     virtual void OnDisconnected() = 0;  // refused, reset or hung up: no more sending or reading
@@ -79,6 +82,9 @@
   // Whether the kernel has accepted all bytes passed to Write.
   bool all_written() const { return output_.empty(); }
   std::size_t unsent_bytes() const { return output_.size(); }
+  // Whether the kernel holds bytes that it has not sent yet, as the peer's window or the network's is full.
+  // False if the kernel does not tell.
+  bool HasUnsentBytesInKernel() const;
 
   // Sends what the kernel accepts at once and buffers the rest. Returns false, with nothing sent or buffered,
   // if the bytes do not fit into the output buffer or the connection is closed or broken.
--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -174,9 +174,10 @@
   const upstream::ConnectionCounts& connections = pool_.counts();
   spdlog::info(
       "server connections: opened={} barrier_queries={} barrier_rejections={} barrier_failures={} "
-      "postponed_attempts={}",
+      "postponed_attempts={} expired_attempts={} late_attempts={}",
       connections.opened, connections.barrier_queries, connections.barrier_rejections,
-      connections.barrier_failures, connections.postponed_attempts);
+      connections.barrier_failures, connections.postponed_attempts, connections.expired_attempts,
+      connections.late_attempts);
   LogClientReport();
   const consistency::SessionConsistencyGuard& guard = proxy.consistency_guard();
   if (guard.scope() == consistency::Scope::kEverywhere) {
--- a/src/proxy/ports.h
+++ b/src/proxy/ports.h
@@ -72,6 +72,10 @@
   // Called right before an attempt is sent. If it returns false, the client may have left: the attempt is
   // postponed for a few milliseconds.
   virtual bool MaySendAttempt(RequestId) { return true; }
+  // The time by which the last byte of the attempt's statement must have been sent, by what is known now. To
+  // be asked again right before the statement is written. An attempt that misses it ends as kSendExpired, or
+  // as kSentLate if the server may have received all of it.
+  virtual TimePoint SendDeadline(RequestId, AttemptNumber, ServerId) { return TimePoint::max(); }
 
  protected:
   ~UpstreamEvents() = default;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -194,6 +194,7 @@
   Event event = AttemptEndedEvent{result.request, result.attempt, result.server,   result.outcome,
                                   result.elapsed, false,          result.metadata, result.report};
   auto& ended = std::get<AttemptEndedEvent>(event);
+  ended.received = loop_.PreciseNow();
   // The guard checks the metadata before the client receives the response: it changes the outcome of a stale
   // response.
   written_session_.reset();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -80,6 +80,9 @@
   void OnAttemptFinished(AttemptResult result) override;
   void OnHealthCheckFinished(const HealthCheckEvent& health_check) override;
   bool MaySendAttempt(RequestId request) override;
+  TimePoint SendDeadline(RequestId request, AttemptNumber attempt, ServerId server) override {
+    return balancer_.SendDeadline(request, attempt, server);
+  }
   void HandleEvent(Event event);
   // Passes the event to the consistency guard, which may amend it, and rejects the reads whose consistency
   // can no longer be guaranteed after it.
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -29,6 +29,11 @@
     context_.ClearRetryOfWaiting();
   }
 
+  TimePoint SendDeadline(RequestId id, AttemptNumber attempt, ServerId server_id) {
+    Server* server = servers_.Find(server_id);
+    return server == nullptr ? TimePoint::min() : router_.SendDeadline(id, attempt, *server);
+  }
+
  private:
   void On(const EndpointListEvent& event) { endpoint_list_.Apply(event); }
   void On(const RequestEvent& event) { router_.HandleRequest(event); }
@@ -148,4 +153,8 @@
   impl_->Handle(now, event, actions);
 }
 
+TimePoint Balancer::SendDeadline(RequestId id, AttemptNumber attempt, ServerId server) {
+  return impl_->SendDeadline(id, attempt, server);
+}
+
 }  // namespace lynxgrade
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -29,6 +29,11 @@
   // Throws std::out_of_range for a request of an unknown class.
   void Handle(TimePoint now, const Event& event, Actions& actions);
 
+  // To be asked right before the host sends an attempt, which may be long after its StartAttempt: the time by
+  // which the last byte must have been sent. TimePoint::max(): no limit; a time that has passed: it must end
+  // as kSendExpired. Considers all events that have been handled.
+  TimePoint SendDeadline(RequestId id, AttemptNumber attempt, ServerId server);
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/routing/eligibility.cpp
+++ b/src/routing/eligibility.cpp
@@ -1,17 +1,21 @@
 #include "routing/eligibility.h"
 
+#include <algorithm>
+
 namespace lynxgrade {
 
 bool Eligibility::MaySend(const Request& request, Server& server) {
   if (server.group != request.event.group || server.draining) return false;
   if (!retry_policy_.MayAttempt(request, server.zone)) return false;
-  if (MustProvePosition(request) && !server.IsPrimary()) {
-    if (context_.ClassOf(request).kind == AccessKind::kStrongRead) return false;
-    if (!ReplicationState::IsProven(server, replication_.RequiredPosition(request))) return false;
-  }
+  if (std::max(context_.now(), request.last_expired) > SendDeadline(request, server)) return false;
   return slow_start_.HasCapacity(request, server);
 }
 
+TimePoint Eligibility::SendDeadline(const Request& request, const Server& server) const {
+  if (!MustProvePosition(request) || server.IsPrimary()) return TimePoint::max();
+  return replication_.ProvenUntil(request, server);
+}
+
 bool Eligibility::MustProvePosition(const Request& request) const {
   return context_.settings().position_check == PositionCheck::kNone || request.event.require_proven_position;
 }
--- a/src/routing/eligibility.h
+++ b/src/routing/eligibility.h
@@ -21,6 +21,10 @@
 
   // Checks all rules that an attempt must satisfy: group, draining, retries, position and slow start.
   bool MaySend(const Request& request, Server& server);
+  // The time by which the last byte of an attempt at the server must have been sent, by what is known now:
+  // until then the server is proven to have the data that the read requires. TimePoint::max(): no limit;
+  // TimePoint::min(): it must not be sent.
+  TimePoint SendDeadline(const Request& request, const Server& server) const;
   // Whether a read may go only to a server that is proven to have reached the required position.
   bool MustProvePosition(const Request& request) const;
   // The servers that a read may go to now: usable replicas that are expected to have reached its position,
--- a/src/routing/events.h
+++ b/src/routing/events.h
@@ -55,8 +55,10 @@
   kUnreachable,     // no connection; nothing was sent
   kConnectionLost,  // after something was sent; the request may have run
   kCancelled,
-  kNotRun,    // never sent, or invalid on every server
-  kMisrouted  // the server is not the primary, or has not reached the required position
+  kNotRun,       // never sent, or invalid on every server
+  kMisrouted,    // the server is not the primary, or has not reached the required position
+  kSendExpired,  // never sent: its send deadline passed first, which says nothing about the server
+  kSentLate      // sent after its send deadline, so that the response must not be used
 };
 
 struct EndpointListEvent {
@@ -88,6 +90,7 @@
   bool request_done = false;  // the host has sent the final answer
   ResponseMetadata metadata{};
   std::optional<LoadReport> report{};
+  std::optional<TimePoint> received{};  // when the host ended the attempt; absent: now
 };
 
 // The first byte of a response was sent to the client, so that no other attempt can be made.
--- a/src/routing/outlier_ejection.cpp
+++ b/src/routing/outlier_ejection.cpp
@@ -19,12 +19,31 @@
 // How long idle connections are closed after the server has refused one.
 constexpr int kConnectionScarcityTicks = 100;
 
+bool SaysNothingAboutServer(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kMisrouted:
+    case Outcome::kCancelled:
+    case Outcome::kNotRun:
+    case Outcome::kSendExpired:
+    case Outcome::kSentLate:
+      return true;
+    case Outcome::kOk:
+    case Outcome::kError:
+    case Outcome::kOverloaded:
+    case Outcome::kTimeout:
+    case Outcome::kUnreachable:
+    case Outcome::kConnectionLost:
+      break;
+  }
+  return false;
+}
+
 }  // namespace
 
 void OutlierEjection::RecordOutcome(Server& server, Outcome outcome, Duration elapsed) {
   EjectionState& ejection = server.ejection;
   if (outcome == Outcome::kOk) return RecordSuccess(ejection);
-  if (outcome == Outcome::kMisrouted || outcome == Outcome::kCancelled || outcome == Outcome::kNotRun) return;
+  if (SaysNothingAboutServer(outcome)) return;
   ++ejection.consecutive_failures;
   const bool lost = outcome == Outcome::kUnreachable || outcome == Outcome::kConnectionLost;
   const bool unanswered = lost || outcome == Outcome::kTimeout;
--- a/src/routing/replication_state.cpp
+++ b/src/routing/replication_state.cpp
@@ -1,7 +1,8 @@
 #include "routing/replication_state.h"
 
-namespace lynxgrade {
+#include <algorithm>
 
+namespace lynxgrade {
 void ReplicationState::RecordRole(Server& server, ServerRole role, TimePoint when) {
   const bool was_primary = server.IsPrimary();
   std::optional<TimePoint>& evidence =
@@ -53,11 +54,23 @@
 
 std::optional<LogPosition> ReplicationState::RequiredPosition(const Request& request) const {
   const RequestClass& request_class = context_.ClassOf(request);
-  if (request_class.kind == AccessKind::kBoundedRead) return context_.now() - request_class.staleness_bound;
+  if (request_class.kind == AccessKind::kBoundedRead) {
+    return std::max(context_.now(), request.last_expired) - request_class.staleness_bound;
+  }
   if (request_class.kind == AccessKind::kSessionRead) return request.event.required_position;
   return std::nullopt;
 }
 
+TimePoint ReplicationState::ProvenUntil(const Request& request, const Server& server) const {
+  const RequestClass& request_class = context_.ClassOf(request);
+  if (request_class.kind == AccessKind::kStrongRead) return TimePoint::min();
+  if (request_class.kind != AccessKind::kBoundedRead) {
+    return IsProven(server, RequiredPosition(request)) ? TimePoint::max() : TimePoint::min();
+  }
+  const auto proven = server.position.proven();
+  return proven ? TimePoint(*proven) + request_class.staleness_bound : TimePoint::min();
+}
+
 bool ReplicationState::IsProven(const Server& server, const std::optional<LogPosition>& required) {
   return !required || server.position.IsProven(required->time_since_epoch());
 }
--- a/src/routing/replication_state.h
+++ b/src/routing/replication_state.h
@@ -30,6 +30,10 @@
 
   // The position that a replica must have reached to serve the request; absent: any replica may.
   std::optional<LogPosition> RequiredPosition(const Request& request) const;
+  // The last time at which the request may be sent to the server, so that the data are recent enough by the
+  // positions that it has reported: TimePoint::max() if that will always be so, TimePoint::min() if it is not
+  // proven to have any such data.
+  TimePoint ProvenUntil(const Request& request, const Server& server) const;
   // Whether the server is proven to have reached the position. True if none is required.
   static bool IsProven(const Server& server, const std::optional<LogPosition>& required);
   // Whether it is known if the server has reached the position; see ReplicaPosition::IsKnown.
--- a/src/routing/request.cpp
+++ b/src/routing/request.cpp
@@ -25,6 +25,11 @@
   return std::ranges::any_of(attempts, [](const Attempt& attempt) { return attempt.reached_server; });
 }
 
+std::size_t Request::CountedAttempts() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(attempts, [](const Attempt& attempt) { return !attempt.expired; }));
+}
+
 bool NeedsPrimary(const RequestClass& request_class) {
   return request_class.kind == AccessKind::kWrite || request_class.kind == AccessKind::kStrongRead;
 }
--- a/src/routing/request.h
+++ b/src/routing/request.h
@@ -16,6 +16,7 @@
   bool pending = true;
   bool may_have_run = true;
   bool reached_server = true;  // false once the server is known not to have received it
+  bool expired = false;        // its send deadline passed before it could be sent
 };
 
 struct Request {
@@ -27,6 +28,8 @@
   TimePoint deadline{};
   std::vector<Attempt> attempts;
   TimePoint next_attempt{};  // while the request waits
+  // When an attempt last missed its send deadline, which may be later than the time of that event.
+  TimePoint last_expired{};
   // Servers that rejected it because they are not the primary or have not reached the required position.
   std::set<ServerId> misrouted_to;
   int primary_misses = 0;               // such rejections by non-primaries since the group's last role change
@@ -38,6 +41,8 @@
   bool MayHaveRunOutside(ZoneIndex zone) const;
   bool MayHaveRun() const;
   bool ReachedAnyServer() const;
+  // The attempts without those that expired unsent.
+  std::size_t CountedAttempts() const;
 };
 
 // Whether only a primary may serve requests of the class.
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -122,6 +122,13 @@
   request.attempts.push_back({server.id, server.zone, context_.now()});
 }
 
+TimePoint RequestRouter::SendDeadline(RequestId id, AttemptNumber attempt, Server& server) {
+  const Request* request = Find(id);
+  const auto in_flight = server.load.in_flight.find({id, attempt});
+  if (request == nullptr || in_flight == server.load.in_flight.end()) return TimePoint::min();
+  return parts_.eligibility.SendDeadline(*request, server);
+}
+
 void RequestRouter::RetryWaiting() {
   std::vector<std::pair<double, RequestId>> order;
   order.reserve(waiting_.size());
@@ -162,10 +169,15 @@
   if (event.attempt < request->attempts.size()) {
     Attempt& attempt = request->attempts[event.attempt];
     attempt.pending = false;
-    attempt.reached_server = event.outcome != Outcome::kUnreachable && event.outcome != Outcome::kNotRun;
+    attempt.expired = event.outcome == Outcome::kSendExpired;
+    attempt.reached_server =
+        event.outcome != Outcome::kUnreachable && event.outcome != Outcome::kNotRun && !attempt.expired;
     attempt.may_have_run = attempt.reached_server && event.outcome != Outcome::kOverloaded &&
                            event.outcome != Outcome::kMisrouted;
   }
+  if (event.outcome == Outcome::kSendExpired || event.outcome == Outcome::kSentLate) {
+    request->last_expired = std::max(request->last_expired, event.received.value_or(context_.now()));
+  }
   if (event.outcome == Outcome::kOk) {
     parts_.load_shedding.RecordClientWait(*request, estimation::WaitEnd::kAnswered);
   }
@@ -177,6 +189,7 @@
   if (request.HasPendingAttempt()) return;
   if (outcome == Outcome::kMisrouted) return ContinueAfterMisrouting(request, server);
   if (outcome == Outcome::kNotRun || !parts_.retry_policy.MayRetry(request)) return Finish(request);
+  if (outcome == Outcome::kSendExpired) return RouteRequest(request);
   // An attempt at an unreachable server caused no load, so its retry needs no budget.
   if (outcome != Outcome::kUnreachable && !parts_.retry_policy.ConsumeBudget()) return Finish(request);
   if (!context_.NeedsPrimary(request)) return RouteRequest(request);
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -40,6 +40,8 @@
   void HandleResponseStarted(const ResponseStartedEvent& event);
   void HandleClientDisconnected(const ClientDisconnectedEvent& event);
   void HandleDeadline(RequestId id);
+  // See Balancer::SendDeadline.
+  TimePoint SendDeadline(RequestId id, AttemptNumber attempt, Server& server);
 
   // Routes the waiting requests that are due or have become routable, in order of their shedding priority.
   void RetryWaiting();
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -31,7 +31,7 @@
 }
 
 bool RetryPolicy::HasAttemptsLeft(const Request& request) const {
-  return request.attempts.size() < context_.settings().max_attempts;
+  return request.CountedAttempts() < context_.settings().max_attempts;
 }
 
 bool RetryPolicy::MayAttempt(const Request& request, ZoneIndex zone) const {
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -95,18 +95,40 @@
   attempt->queued_at = loop_.PreciseNow();
   ServerPool* server = FindServer(attempt->server);
   if (server == nullptr || !server->address) return FinishAttempt(attempt, Outcome::kUnreachable);
-  const std::weak_ptr<Attempt> weak = attempt;
-  attempt->deadline_timer.ScheduleAt(attempt->deadline, [this, weak] {
+  attempt->deadline_timer.ScheduleAt(attempt->deadline, [this, weak = std::weak_ptr<Attempt>(attempt)] {
     if (const auto expired = weak.lock()) Abort(expired, Outcome::kTimeout);
   });
-  attempt->send_timer.ScheduleAt(
-      std::min(attempt->queued_at + settings_.connect_timeout, attempt->write_deadline), [this, weak] {
-        if (const auto expired = weak.lock()) FinishAttempt(expired, Outcome::kUnreachable);
-      });
+  UpdateSendDeadline(*attempt);
+  ArmSendTimer(attempt);
   server->waiting.push_back(std::move(attempt));
   AssignConnections(*server);
 }
 
+void ConnectionPool::ArmSendTimer(const std::shared_ptr<Attempt>& attempt) {
+  const TimePoint until = std::min(
+      {attempt->queued_at + settings_.connect_timeout, attempt->write_deadline, attempt->send_deadline});
+  attempt->send_timer.ScheduleAt(until, [this, weak = std::weak_ptr<Attempt>(attempt)] {
+    if (const auto waiting = weak.lock()) HandleSendTimer(waiting);
+  });
+}
+
+void ConnectionPool::HandleSendTimer(const std::shared_ptr<Attempt>& attempt) {
+  const TimePoint now = loop_.PreciseNow();
+  if (now >= std::min(attempt->queued_at + settings_.connect_timeout, attempt->write_deadline)) {
+    return FinishAttempt(attempt, Outcome::kUnreachable);
+  }
+  // The server may have reported newer data while the attempt waited.
+  if (!UpdateSendDeadline(*attempt)) return FinishAttempt(attempt, Outcome::kSendExpired);
+  ArmSendTimer(attempt);
+}
+
+bool ConnectionPool::UpdateSendDeadline(Attempt& attempt) {
+  if (!attempt.is_health_check()) {
+    attempt.send_deadline = events_->SendDeadline(attempt.request, attempt.number, attempt.server);
+  }
+  return loop_.PreciseNow() <= attempt.send_deadline;
+}
+
 void ConnectionPool::Abort(const std::shared_ptr<Attempt>& attempt, Outcome outcome_if_written) {
   ServerConnection* connection = attempt->connection;
   Outcome outcome = outcome_if_written;
@@ -119,11 +141,6 @@
   if (connection != nullptr) AssignConnections(*server);
 }
 
-void ConnectionPool::AbortIfNotWritten(const std::shared_ptr<Attempt>& attempt) {
-  if (attempt->connection != nullptr && !attempt->connection->AllWritten())
-    Abort(attempt, Outcome::kUnreachable);
-}
-
 void ConnectionPool::CancelAttempt(RequestId request, AttemptNumber number) {
   const auto it = attempts_.find({request, number});
   if (it == attempts_.end()) return;  // already finished
@@ -158,6 +175,8 @@
     events_->OnHealthCheckFinished({finished->server, outcome, elapsed, report});
     return;
   }
+  if (outcome == Outcome::kSendExpired) ++counts_.expired_attempts;
+  if (outcome == Outcome::kSentLate) ++counts_.late_attempts;
   attempts_.erase({finished->request, finished->number});
   events_->OnAttemptFinished({finished->request, finished->number, finished->server, outcome, elapsed,
                               metadata, report, std::move(response), statement_invalid});
@@ -228,6 +247,10 @@
     server.idle.push_back(connection);
     return FinishAttempt(attempt, Outcome::kUnreachable);
   }
+  if (!UpdateSendDeadline(*attempt)) {
+    server.idle.push_back(connection);
+    return FinishAttempt(attempt, Outcome::kSendExpired);
+  }
   connection->SendQuery(attempt);
 }
 
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -36,6 +36,8 @@
   std::uint64_t barrier_rejections = 0;  // answered by an error that rejects empty queries
   std::uint64_t barrier_failures = 0;    // connections that were lost or closed before the response
   std::uint64_t postponed_attempts = 0;  // as their client may have left
+  std::uint64_t expired_attempts = 0;    // not sent, as their send deadline had passed
+  std::uint64_t late_attempts = 0;       // ended, as they may have been sent after their send deadline
 };
 
 class ServerConnection;
@@ -56,8 +58,10 @@
   std::optional<TimePoint> sent_at{};                 // when it was assigned a connection
   TimePoint deadline{};                               // until which the response must be complete
   TimePoint write_deadline = TimePoint::max();        // until which the last byte must be written
+  TimePoint send_deadline = TimePoint::max();         // see UpstreamEvents::SendDeadline, as of the last call
+  bool sent_in_time = false;                          // the kernel has sent the last byte by both of these
   net::Timer deadline_timer;
-  net::Timer send_timer;                   // waiting for a connection, then for the last byte to be written
+  net::Timer send_timer;                   // waiting for a connection, then for the last byte to be sent
   net::Timer postpone_timer;               // until it is known again whether the client is connected
   ServerConnection* connection = nullptr;  // not owned; null while it waits
   bool is_health_check() const { return statement == nullptr; }
@@ -108,8 +112,11 @@
   ServerPool* FindServer(ServerId server);
   // Arms the timers and queues the attempt for a connection.
   void Enqueue(std::shared_ptr<Attempt> attempt);
-  // Called at the write deadline: aborts an attempt whose last byte has not been written.
-  void AbortIfNotWritten(const std::shared_ptr<Attempt>& attempt);
+  // Arms the timer that ends the wait for a connection: at the connect timeout or at the first deadline.
+  void ArmSendTimer(const std::shared_ptr<Attempt>& attempt);
+  void HandleSendTimer(const std::shared_ptr<Attempt>& attempt);
+  // Asks for the present send deadline of an attempt. Returns whether it may still be sent.
+  bool UpdateSendDeadline(Attempt& attempt);
   // Sends the waiting attempts on idle connections, and opens a connection for each one that remains and has
   // no connection that awaits its barrier.
   void AssignConnections(ServerPool& server);
--- a/src/upstream/server_connection.cpp
+++ b/src/upstream/server_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "pg/statement.h"
 
 namespace lynxgrade::upstream {
@@ -14,6 +16,8 @@
 constexpr Duration kResponseCompletionTimeout{100000};
 // Between attempts to read the rest of a response that there was no memory for.
 constexpr Duration kMemoryRetryInterval{5000};
+// Between checks of whether the kernel has sent a statement that has a send deadline.
+constexpr Duration kSendCheckInterval{1000};
 // For this part of the connect timeout attempts wait for a connection that awaits its barrier; then another
 // one is opened for them, with the rest of the time.
 constexpr double kBarrierPatienceFraction = 0.4;
@@ -86,13 +90,50 @@
   // The ring buffer holds the largest statement, so only a broken connection rejects it.
   query_accepted_ = connection_->Write(query);
   if (!query_accepted_) return HandleConnectionLost();
-  if (attempt_->write_deadline == TimePoint::max() || AllWritten()) return;
-  // A part of the query is still in the ring buffer, because the kernel's send buffer is full.
-  attempt_->send_timer.ScheduleAt(attempt_->write_deadline, [this, weak = std::weak_ptr<Attempt>(attempt_)] {
-    if (const auto attempt = weak.lock()) pool_.AbortIfNotWritten(attempt);
+  CheckSent();
+}
+
+// The clock is read after the check, so that what has been sent was sent by then, however long the process
+// was held up before or during the write.
+void ServerConnection::CheckSent() {
+  const std::shared_ptr<Attempt> attempt = attempt_;
+  if (attempt == nullptr || attempt->sent_in_time) return;
+  const auto self = shared_from_this();
+  const bool has_send_deadline = attempt->send_deadline != TimePoint::max();
+  const bool written = AllWritten();
+  const bool sent = written && !(has_send_deadline && connection_->HasUnsentBytesInKernel());
+  const TimePoint now = loop_.PreciseNow();
+  if (now > attempt->send_deadline) {
+    return pool_.Abort(attempt, written ? Outcome::kSentLate : Outcome::kSendExpired);
+  }
+  if (!written && now >= attempt->write_deadline) return pool_.Abort(attempt, Outcome::kUnreachable);
+  attempt->sent_in_time = sent;
+  const TimePoint deadline = std::min(attempt->write_deadline, attempt->send_deadline);
+  if (sent || deadline == TimePoint::max()) return attempt->send_timer.Cancel();
+  const TimePoint next = has_send_deadline ? std::min(now + kSendCheckInterval, deadline) : deadline;
+  attempt->send_timer.ScheduleAt(next, [this, weak = std::weak_ptr<Attempt>(attempt)] {
+    if (weak.lock() == attempt_) CheckSent();
   });
 }
 
+// A statement whose last byte has not been written never runs.
+bool ServerConnection::MayFlush() {
+  if (attempt_ == nullptr) return true;
+  const auto self = shared_from_this();
+  const TimePoint now = loop_.PreciseNow();
+  if (now > attempt_->send_deadline) {
+    pool_.Abort(std::shared_ptr(attempt_), Outcome::kSendExpired);
+    return false;
+  }
+  if (now < attempt_->write_deadline) return true;
+  pool_.Abort(std::shared_ptr(attempt_), Outcome::kUnreachable);
+  return false;
+}
+
+bool ServerConnection::MayBeLate(const Attempt& attempt) const {
+  return !attempt.sent_in_time && loop_.PreciseNow() > attempt.send_deadline;
+}
+
 void ServerConnection::LogQueryWritten(std::string_view text, TimePoint now) const {
   spdlog::debug(
       "data server connection: query written; server={} descriptor={} request={} attempt={} id={} idle_us={} "
@@ -215,6 +256,7 @@
 
 // The attempt is finished before the barrier query is written, so that its client does not wait for that.
 void ServerConnection::HandleResponse() {
+  if (MayBeLate(*attempt_)) return pool_.Abort(std::shared_ptr(attempt_), Outcome::kSentLate);
   idle_since_ = loop_.Now();
   const std::shared_ptr<Attempt> attempt = std::exchange(attempt_, nullptr);
   ResponseReader response = std::exchange(response_, ResponseReader());
@@ -311,7 +353,8 @@
   ResponseReader response = std::exchange(response_, ResponseReader());
   pool_.CloseConnection(*this);
   if (attempt != nullptr) {
-    const Outcome outcome = response.OutcomeAtEnd(all_written);
+    Outcome outcome = response.OutcomeAtEnd(all_written);
+    if (outcome == Outcome::kOk && MayBeLate(*attempt)) outcome = Outcome::kSentLate;
     std::optional<proxy::Response> released;
     if (outcome == Outcome::kOk) released = response.ReleaseResponse();
     pool_.FinishAttempt(attempt, outcome, response.metadata(), {}, std::move(released),
--- a/src/upstream/server_connection.h
+++ b/src/upstream/server_connection.h
@@ -51,9 +51,16 @@
   void OnConnected() override;
   void OnReadable() override;
   bool OnInputStarved() override { return pool_.memory_.Reclaim(); }
+  bool MayFlush() override;
+  void OnOutputFlushed() override { CheckSent(); }
   void OnEndOfStream() override { HandleConnectionLost(); }
   void OnDisconnected() override { HandleConnectionLost(); }
   ReadResult ReadMessage(char type, std::string_view body);
+  // Checks whether the last byte of the statement has been sent by the deadlines of the attempt. Ends the
+  // attempt if it may have been sent later, and checks again if it has not been sent.
+  void CheckSent();
+  // Whether the last byte may have been sent after the send deadline, as the response is read now.
+  bool MayBeLate(const Attempt& attempt) const;
   // Debug log lines, one for each query, each response and each barrier query.
   void LogQueryWritten(std::string_view text, TimePoint now) const;
   void LogResponse(const Attempt& attempt, const ResponseReader& response) const;
--- /dev/null
+++ b/tests/proxy/read_age_test.cpp
@@ -0,0 +1,169 @@
+// Reads that must not be answered from data older than their class allows, in
+// the whole pooler on real sockets: what is sent is judged by what is known
+// when it is sent, and what is answered by the role that the answer names.
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <ctime>
+
+#include "support/event_loop_steps.h"
+#include "support/simulated_fleet.h"
+
+namespace {
+
+std::time_t wall_clock_step_seconds = 0;
+
+} // namespace
+
+// Replaces the C library's function in this program, so that a test can step
+// the wall clock of the process.
+extern "C" int clock_gettime(clockid_t clock, timespec *time) noexcept {
+  const auto result = static_cast<int>(syscall(SYS_clock_gettime, clock, time));
+  if (result == 0 && clock == CLOCK_REALTIME)
+    time->tv_sec += wall_clock_step_seconds;
+  return result;
+}
+
+namespace lynxgrade {
+namespace {
+
+constexpr Duration kBound = 100 * kMs; // shorter than the connect timeout
+
+// Servers that do not check positions; the class "any" is of the given kind.
+Settings UncheckedSettings(AccessKind kind) {
+  Settings settings = LongDeadlineSettings();
+  settings.classes[0].kind = kind;
+  settings.classes[0].staleness_bound = kBound;
+  settings.position_check = PositionCheck::kNone;
+  settings.responses_report_position = false;
+  return settings;
+}
+
+// A load report with the role and the position.
+std::string Report(bool primary, TimePoint position) {
+  return "x1=" + std::to_string(primary ? 1 : 0) + ",x0=" +
+         std::to_string(
+             static_cast<double>(position.time_since_epoch().count()) / 1e6);
+}
+
+// Answers each query with the value and the role.
+QueryHandler Answer(const char *value, const char *role) {
+  return [=](TestConnection &connection, const std::string &) {
+    connection.Send(RowResponse(value, role));
+  };
+}
+
+struct ReadFleet : SimulatedFleet {
+  explicit ReadFleet(AccessKind kind)
+      : SimulatedFleet(200, UncheckedSettings(kind)) {}
+  // Has the server report its role and the present time as its position at each
+  // health check.
+  void ReportPresent(DataServer &server, bool primary) {
+    server.before_response = [this, &server, primary](TestConnection &,
+                                                      const std::string &text) {
+      if (text == "SHOW pressure")
+        server.load_report = Report(primary, loop.PreciseNow() - 1 * kMs);
+    };
+  }
+  // Closes the server's connections; further ones do not come up until
+  // AcceptConnections.
+  void HoldConnections(DataServer &server) {
+    server.accepts_startup = false;
+    for (auto &connection : server.connections)
+      connection->connection->Close();
+    held_from = server.connections.size();
+    RunUntil([&] { return pool.idle() == 0; });
+  }
+  void AcceptConnections(DataServer &server) {
+    server.accepts_startup = true;
+    for (std::size_t i = held_from; i < server.connections.size(); ++i) {
+      TestConnection &connection = *server.connections[i];
+      if (connection.startup_received && !connection.peer_closed)
+        connection.Send(StartupResponse());
+    }
+  }
+  // Sends a read and waits for its response, so that the position or role of a
+  // server has been reported.
+  void CompleteRead(const std::string &value) {
+    TestConnection &client = ConnectClient({RequestText("any", "k", 60000)});
+    RunUntil([&] { return client.HasReceived("SELECT 1"); });
+    CHECK(client.HasReceived(value));
+    RunUntil([&] { return pool.idle() > 0; });
+  }
+  // Sends reads, which may be rejected, until one is served.
+  void AwaitServedRead() {
+    bool served = false;
+    for (int i = 0; i < 100 && !served; ++i) {
+      TestConnection &client = ConnectClient({RequestText("any", "k", 60000)});
+      RunUntil([&] {
+        return client.HasReceived("SELECT 1") || client.HasReceived("53300");
+      });
+      served = client.HasReceived("SELECT 1");
+      RunFor(20 * kMs);
+    }
+    CHECK(served);
+  }
+  void RunFor(Duration duration) {
+    RunLoopFor(loop, static_cast<int>(duration / kMs));
+  }
+  std::size_t held_from = 0;
+};
+
+// Guards against a bounded read that is routed to recent data and sent when
+// they are too old, since its connection came up late (review/10, issue 66).
+TEST_CASE("a bounded read whose connection comes up after its bound waits for "
+          "a newer position") {
+  ReadFleet fleet(AccessKind::kBoundedRead);
+  DataServer &server = fleet.AddServer(Answer("value", "standby"));
+  fleet.ReportPresent(server, false);
+  fleet.ApplyEndpointList();
+  fleet.CompleteRead("value");
+  server.load_report = Report(false, fleet.loop.PreciseNow());
+  server.before_response = nullptr; // its position stands still from now on
+  fleet.CompleteRead("value");
+  const std::size_t queries = server.queries.size();
+  fleet.HoldConnections(server);
+  TestConnection &client =
+      fleet.ConnectClient({RequestText("any", "k", 60000)});
+  fleet.RunUntil([&] { return fleet.proxy.requests_in_flight() == 1; });
+  fleet.RunFor(kBound + 30 * kMs);
+  fleet.AcceptConnections(server);
+  fleet.RunFor(200 * kMs);
+  CHECK(server.queries.size() == queries);
+  CHECK_FALSE(client.HasReceived("SELECT 1"));
+  fleet.ReportPresent(server, false);
+  fleet.AwaitServedRead();
+}
+
+// Guards against positions that are compared with a wall clock which has been
+// stepped since the start.
+TEST_CASE(
+    "a step of the wall clock changes neither what is served nor what is not") {
+  for (const std::time_t step : {std::time_t{3600}, std::time_t{-3600}}) {
+    CAPTURE(step);
+    ReadFleet fleet(AccessKind::kBoundedRead);
+    DataServer &server = fleet.AddServer(Answer("value", "standby"));
+    fleet.ReportPresent(server, false);
+    fleet.ApplyEndpointList();
+    fleet.CompleteRead("value");
+    const TimePoint before = fleet.loop.PreciseNow();
+    wall_clock_step_seconds = step;
+    REQUIRE(std::time(nullptr) != 0);
+    CHECK(fleet.loop.PreciseNow() >= before);
+    CHECK(fleet.loop.PreciseNow() - before < 60000 * kMs);
+    fleet.AwaitServedRead();
+    server.before_response = nullptr;
+    server.load_report = Report(false, fleet.loop.PreciseNow() - 2 * kBound);
+    fleet.RunFor(kBound + 30 * kMs);
+    const std::size_t queries = server.queries.size();
+    TestConnection &client =
+        fleet.ConnectClient({RequestText("any", "k", 60000)});
+    fleet.RunFor(200 * kMs);
+    CHECK(server.queries.size() == queries);
+    CHECK_FALSE(client.HasReceived("SELECT 1"));
+    wall_clock_step_seconds = 0;
+  }
+}
+
+} // namespace
+} // namespace lynxgrade
--- /dev/null
+++ b/tests/routing/balancer_send_deadline_test.cpp
@@ -0,0 +1,170 @@
+// Tests of the time by which a read must have been sent: the data that answer it may be as old as its class
+// allows when the last byte of its statement is sent, however long that is after the routing decision.
+#include <gtest/gtest.h>
+
+#include "routing/simulated_instance.h"
+
+namespace lynxgrade {
+namespace {
+
+constexpr Duration kBound = 300_ms;  // of DefaultSettings
+
+Settings UncheckedSettings() {
+  Settings settings = DefaultSettings();
+  settings.position_check = PositionCheck::kNone;
+  return settings;
+}
+
+// Servers that do not check positions; replica A has reported a position 100 ms ago, replica B an old one.
+struct UncheckedInstance : SimulatedInstance {
+  explicit UncheckedInstance(const Settings& settings = UncheckedSettings()) : SimulatedInstance(settings) {
+    UpdateList(ThreeServers());
+    ReportReplicaAt(kReplicaA, now() - 100_ms);
+    ReportReplicaAt(kReplicaB, now() - 5000_ms);
+  }
+};
+
+// Guards against a read that is judged when it is routed and sent when its data are too old (issue 66).
+TEST(SendDeadline, IsTheProvenPositionPlusTheBound) {
+  UncheckedInstance instance;
+  const TimePoint decided = instance.now();
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  ASSERT_EQ(instance.LastServerOf(id), kReplicaA);
+  EXPECT_EQ(instance.SendDeadlineOf(id), decided - 100_ms + kBound);
+  instance.Advance(30_ms);
+  EXPECT_EQ(instance.SendDeadlineOf(id), decided - 100_ms + kBound);
+}
+
+// Guards against a read that is given up although its server has reported newer data meanwhile.
+TEST(SendDeadline, MovesWithANewerReport) {
+  UncheckedInstance instance;
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  instance.Advance(150_ms);
+  instance.ReportReplicaAt(kReplicaA, instance.now() - 20_ms);
+  EXPECT_EQ(instance.SendDeadlineOf(id), instance.now() - 20_ms + kBound);
+}
+
+// Guards against limits where the servers themselves reject what they cannot answer in time.
+TEST(SendDeadline, DoesNotApplyWhereServersCheckPositions) {
+  for (const PositionCheck check : {PositionCheck::kReject, PositionCheck::kWait}) {
+    Settings settings = DefaultSettings();
+    settings.position_check = check;
+    UncheckedInstance instance(settings);
+    for (const ClassIndex request_class : {kBoundedRead, kSessionRead, kEventualRead, kStrongRead}) {
+      EXPECT_EQ(instance.SendDeadlineOf(instance.SendRequest(request_class)), TimePoint::max());
+    }
+  }
+}
+
+TEST(SendDeadline, DoesNotApplyToReadsOfAnyDataAndToWrites) {
+  UncheckedInstance instance;
+  for (const ClassIndex request_class : {kEventualRead, kWriteWithKey, kNotIdempotentWrite}) {
+    EXPECT_EQ(instance.SendDeadlineOf(instance.SendRequest(request_class)), TimePoint::max());
+  }
+}
+
+// Guards against a read that is sent to a server as the primary after that has been heard as a replica.
+TEST(SendDeadline, OfAReadAtThePrimaryEndsWithItsRole) {
+  UncheckedInstance instance;
+  instance.ReportPrimaryAt(kPrimary, instance.now());
+  const RequestId strong = instance.SendRequest(kStrongRead);
+  ASSERT_EQ(instance.LastServerOf(strong), kPrimary);
+  EXPECT_EQ(instance.SendDeadlineOf(strong), TimePoint::max());
+  instance.Advance(10_ms);
+  instance.ReportReplicaAt(kPrimary, instance.now());
+  EXPECT_EQ(instance.SendDeadlineOf(strong), TimePoint::min());
+}
+
+// As above, for a bounded read, which the former primary may still answer by its position.
+TEST(SendDeadline, OfABoundedReadAtAFormerPrimaryIsThatOfAReplica) {
+  Settings settings = UncheckedSettings();
+  SimulatedInstance instance(settings);
+  instance.UpdateList({{.server = kPrimary, .group = kGroup, .primary = true}});
+  instance.ReportPrimaryAt(kPrimary, instance.now());
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  ASSERT_EQ(instance.AttemptsOf(id), 1u);
+  EXPECT_EQ(instance.SendDeadlineOf(id), TimePoint::max());
+  instance.Advance(10_ms);
+  instance.ReportReplicaAt(kPrimary, instance.now() - 5_ms);
+  EXPECT_EQ(instance.SendDeadlineOf(id), instance.now() - 5_ms + kBound);
+}
+
+// Guards against the last word of a request that has ended.
+TEST(SendDeadline, OfAnEndedRequestHasPassed) {
+  UncheckedInstance instance;
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  instance.Handle(ClientDisconnectedEvent{id});
+  EXPECT_EQ(instance.SendDeadlineOf(id), TimePoint::min());
+}
+
+// Guards against a server that is blamed for its connection, and against a budget of retries that runs out.
+TEST(ExpiredAttempt, IsRoutedAgainAtOnceAndBlamesNobody) {
+  UncheckedInstance instance;
+  for (int i = 0; i < 60; ++i) {
+    instance.ReportReplicaAt(kReplicaA, instance.now() - 250_ms);
+    const RequestId id = instance.SendRequest(kBoundedRead);
+    ASSERT_EQ(instance.LastServerOf(id), kReplicaA);
+    instance.Advance(51_ms);
+    instance.ReportReplicaAt(kReplicaB, instance.now() - 10_ms);
+    instance.EndAttempt(id, Outcome::kSendExpired);
+    ASSERT_EQ(instance.AttemptsOf(id), 2u);
+    EXPECT_EQ(instance.LastServerOf(id), kReplicaB);
+    instance.EndAttempt(id, Outcome::kOk);
+    instance.Advance(1000_ms);  // until what B has reported is too old
+  }
+  EXPECT_TRUE(instance.rejected.empty());
+}
+
+// Guards against a read that is refused since attempts that were never sent have used up its number.
+TEST(ExpiredAttempt, DoesNotCountAsAnAttempt) {
+  Settings settings = UncheckedSettings();
+  settings.max_attempts = 2;
+  UncheckedInstance instance(settings);
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  for (int i = 0; i < 5; ++i) {
+    instance.ReportReplicaAt(kReplicaA, instance.now());
+    instance.EndAttempt(id, Outcome::kSendExpired, {}, 10_ms, 1_ms);
+    instance.Advance(2_ms);
+  }
+  EXPECT_EQ(instance.FinalAnswersTo(id), 0u);
+  instance.ReportReplicaAt(kReplicaA, instance.now());
+  const std::size_t before = instance.AttemptsOf(id);
+  instance.EndAttempt(id, Outcome::kError);
+  EXPECT_EQ(instance.AttemptsOf(id), before + 1);  // the second that counts, and the last one
+  instance.EndAttempt(id, Outcome::kError);
+  EXPECT_EQ(instance.AttemptsOf(id), before + 1);
+  EXPECT_EQ(instance.FinalAnswersTo(id), 1u);
+}
+
+// Guards against an endless loop within one pass of the host, whose clock stands while attempts expire.
+TEST(ExpiredAttempt, IsNotRoutedToTheSameServerByAClockThatStands) {
+  UncheckedInstance instance;
+  instance.ReportReplicaAt(kReplicaA, instance.now() - 100_ms);
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  instance.EndAttempt(id, Outcome::kSendExpired, {}, 10_ms, 201_ms);  // noticed 201 ms into the pass
+  EXPECT_EQ(instance.AttemptsOf(id), 1u);
+  EXPECT_EQ(instance.FinalAnswersTo(id), 0u);
+  instance.Advance(201_ms);
+  EXPECT_EQ(instance.AttemptsOf(id), 1u);
+  instance.ReportReplicaAt(kReplicaA, instance.now() - 10_ms);
+  EXPECT_EQ(instance.AttemptsOf(id), 2u);
+}
+
+// Guards against the response of an attempt that was sent too late, and against a request that is lost with
+// it.
+TEST(LateAttempt, IsRepeatedWhereTheClassAllowsIt) {
+  UncheckedInstance instance;
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  instance.EndAttempt(id, Outcome::kSentLate, {}, 10_ms, 10_ms);
+  EXPECT_EQ(instance.AttemptsOf(id), 2u);
+  Settings settings = UncheckedSettings();
+  settings.classes[kBoundedRead].idempotency = Idempotency::kNotIdempotent;
+  UncheckedInstance once(settings);
+  const RequestId unrepeatable = once.SendRequest(kBoundedRead);
+  once.EndAttempt(unrepeatable, Outcome::kSentLate, {}, 10_ms, 10_ms);
+  EXPECT_EQ(once.AttemptsOf(unrepeatable), 1u);
+  EXPECT_EQ(once.failed, std::vector<RequestId>{unrepeatable});
+}
+
+}  // namespace
+}  // namespace lynxgrade
--- a/tests/routing/simulated_instance.h
+++ b/tests/routing/simulated_instance.h
@@ -110,8 +110,14 @@
     return id;
   }
 
-  // Ends the latest attempt of a request.
-  void EndAttempt(RequestId id, Outcome outcome, ResponseMetadata metadata = {}, Duration taken = 10_ms) {
+  // The send deadline of the latest attempt of a request, by what is known now.
+  TimePoint SendDeadlineOf(RequestId id) {
+    const auto& servers = attempts_.at(id);
+    return balancer_.SendDeadline(id, static_cast<AttemptNumber>(servers.size() - 1), servers.back());
+  }
+  // Ends the latest attempt of a request; `late`: how long after the time of the event the host noticed it.
+  void EndAttempt(RequestId id, Outcome outcome, ResponseMetadata metadata = {}, Duration taken = 10_ms,
+                  Duration late = 0_ms) {
     if (AttemptsOf(id) == 0) return;
     const auto& servers = attempts_[id];
     AttemptEndedEvent event;
@@ -122,6 +128,7 @@
     event.elapsed = taken;
     event.request_done = outcome == Outcome::kOk;
     event.metadata = metadata;
+    event.received = now_ + late;
     Handle(event);
   }
 
--- a/tests/support/pool_fixture.h
+++ b/tests/support/pool_fixture.h
@@ -19,7 +19,7 @@
 };
 
 // A connection pool with one data server, and the results of its attempts and health checks.
-struct PoolFixture final : proxy::UpstreamEvents {
+struct PoolFixture : proxy::UpstreamEvents {
   virtual ~PoolFixture() = default;
   explicit PoolFixture(upstream::PoolSettings settings = {})
       : pool(loop, std::move(settings), budget, memory, [] { return false; }),
@@ -32,6 +32,7 @@
     attempt_results.push_back(std::move(result));
   }
   void OnHealthCheckFinished(const HealthCheckEvent& event) override { health_checks.push_back(event); }
+  TimePoint SendDeadline(RequestId, AttemptNumber, ServerId) override { return send_deadline; }
   void Send(int limit_ms, Duration write_timeout = Duration::max()) {
     pool.StartAttempt(RequestId(++last_request_id), 0, kServer, statement, {limit_ms * kMs, write_timeout});
   }
@@ -50,6 +51,7 @@
   std::shared_ptr<const proxy::Statement> statement = std::make_shared<RemainingTimeStatement>();
   std::vector<proxy::AttemptResult> attempt_results;
   std::vector<HealthCheckEvent> health_checks;
+  TimePoint send_deadline = TimePoint::max();  // of all attempts
   std::uint32_t last_request_id = 0;
 };
 
