Take a former primary for none once a newer one has been heard

Cause: reads that need the newest data, or whose replicas prove nothing, were sent to any server that had last called itself the primary, also after a newer word from another: until it was heard as a replica, which a server that hangs or whose connections come up late does not let hear.

--- a/src/routing/eligibility.cpp
+++ b/src/routing/eligibility.cpp
@@ -12,7 +12,7 @@
 }
 
 TimePoint Eligibility::SendDeadline(const Request& request, const Server& server) const {
-  if (!MustProvePosition(request) || server.IsPrimary()) return TimePoint::max();
+  if (!MustProvePosition(request) || replication_.IsPrimaryOfGroup(server)) return TimePoint::max();
   return replication_.ProvenUntil(request, server);
 }
 
--- a/src/routing/replication_state.cpp
+++ b/src/routing/replication_state.cpp
@@ -42,7 +42,7 @@
   if (report.position) RecordPosition(server, *report.position);
 }
 
-Server* ReplicationState::PrimaryOf(GroupId group) {
+Server* ReplicationState::PrimaryOf(GroupId group) const {
   Server* newest = nullptr;
   for (ServerId id : servers_.GroupOf(group).servers) {
     Server& server = servers_.At(id);
--- a/src/routing/replication_state.h
+++ b/src/routing/replication_state.h
@@ -26,7 +26,12 @@
   void RecordReport(Server& server, const LoadReport& report);
 
   // Returns the server with the newest evidence of being the group's primary; null if there is none.
-  Server* PrimaryOf(GroupId group);
+  Server* PrimaryOf(GroupId group) const;
+  // Whether the server is that one. A former primary that has not been heard since may still count as a
+  // primary by its own evidence.
+  bool IsPrimaryOfGroup(const Server& server) const {
+    return server.IsPrimary() && PrimaryOf(server.group) == &server;
+  }
 
   // The position that a replica must have reached to serve the request; absent: any replica may.
   std::optional<LogPosition> RequiredPosition(const Request& request) const;
--- a/tests/proxy/read_age_test.cpp
+++ b/tests/proxy/read_age_test.cpp
@@ -135,6 +135,31 @@
   fleet.AwaitServedRead();
 }
 
+// Guards against a strong read that is sent to its former primary, since its
+// connection came up late.
+TEST_CASE(
+    "a strong read that waits for its connection follows a change of primary") {
+  ReadFleet fleet(AccessKind::kStrongRead);
+  DataServer &former = fleet.AddServer(Answer("former", "primary"));
+  DataServer &successor = fleet.AddServer(Answer("successor", "primary"));
+  fleet.ReportPresent(former, true);
+  fleet.ReportPresent(successor, false);
+  fleet.ApplyEndpointList();
+  fleet.CompleteRead("former");
+  fleet.HoldConnections(former);
+  TestConnection &client =
+      fleet.ConnectClient({RequestText("any", "k", 60000)});
+  fleet.RunUntil([&] { return former.connections.size() > fleet.held_from; });
+  const std::size_t queries = former.queries.size();
+  fleet.ReportPresent(successor, true);
+  fleet.ReportPresent(former, false);
+  fleet.RunFor(180 * kMs);
+  fleet.AcceptConnections(former);
+  fleet.RunUntil([&] { return client.HasReceived("SELECT 1"); });
+  CHECK(client.HasReceived("successor"));
+  CHECK(former.queries.size() == queries);
+}
+
 // Guards against positions that are compared with a wall clock which has been
 // stepped since the start.
 TEST_CASE(
--- a/tests/routing/balancer_send_deadline_test.cpp
+++ b/tests/routing/balancer_send_deadline_test.cpp
@@ -89,6 +89,20 @@
   EXPECT_EQ(instance.SendDeadlineOf(id), instance.now() - 5_ms + kBound);
 }
 
+// Guards against reads at a former primary that has not been heard since another server took over.
+TEST(SendDeadline, OfAReadAtAPrimaryEndsWithTheWordOfANewerOne) {
+  UncheckedInstance instance;
+  instance.ReportPrimaryAt(kPrimary, instance.now());
+  const RequestId strong = instance.SendRequest(kStrongRead);
+  instance.Advance(400_ms);
+  instance.ReportPrimaryAt(kReplicaB, instance.now());
+  EXPECT_EQ(instance.SendDeadlineOf(strong), TimePoint::min());
+  instance.Advance(1_ms);
+  instance.ReportReplicaAt(kReplicaA, instance.now() - 5000_ms);
+  const RequestId bounded = instance.SendRequest(kBoundedRead);
+  EXPECT_EQ(instance.AttemptsOf(bounded), 0u);  // neither replica has recent data
+}
+
 // Guards against the last word of a request that has ended.
 TEST(SendDeadline, OfAnEndedRequestHasPassed) {
   UncheckedInstance instance;
