Serve no read from a server that was sent it as the primary and answers as a replica

Cause: a read whose data only the primary is sure to have is sent by the newest word about the role. Where a failover had not been heard yet, the former primary's response was served although it names the role "standby": the role was decided then and taken for true later.

Change: an attempt notes when it is sent whether it relies on the role (Balancer::MayServe); such a response counts as kMisrouted before the consistency guard sees it, and the read is routed again. discarded_responses counts them.

--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -167,10 +167,10 @@
   const auto& requests = proxy.counts();
   spdlog::info(
       "requests: received={} served={} rejected={} failed={} cancelled={} attempts={} health_checks={} "
-      "in_flight={} clients={} server_connections={} idle_server_connections={}",
+      "in_flight={} clients={} server_connections={} idle_server_connections={} discarded_responses={}",
       requests.received, requests.served, requests.rejected, requests.failed, requests.cancelled,
       requests.attempts, requests.health_checks, proxy.requests_in_flight(), budget_.clients(),
-      budget_.backends(), pool_.idle());
+      budget_.backends(), pool_.idle(), requests.discarded_responses);
   const upstream::ConnectionCounts& connections = pool_.counts();
   spdlog::info(
       "server connections: opened={} barrier_queries={} barrier_rejections={} barrier_failures={} "
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -195,6 +195,10 @@
                                   result.elapsed, false,          result.metadata, result.report};
   auto& ended = std::get<AttemptEndedEvent>(event);
   ended.received = loop_.PreciseNow();
+  if (ended.outcome == Outcome::kOk && !balancer_.MayServe(ended)) {
+    ended.outcome = Outcome::kMisrouted;
+    ++counts_.discarded_responses;
+  }
   // The guard checks the metadata before the client receives the response: it changes the outcome of a stale
   // response.
   written_session_.reset();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -63,6 +63,7 @@
   struct Counts {
     std::uint64_t received = 0, served = 0, rejected = 0, failed = 0, cancelled = 0, attempts = 0,
                   health_checks = 0;
+    std::uint64_t discarded_responses = 0;  // of replicas that were sent the read as the primary
   };
   const Counts& counts() const { return counts_; }
 
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -34,6 +34,14 @@
     return server == nullptr ? TimePoint::min() : router_.SendDeadline(id, attempt, *server);
   }
 
+  bool MayServe(const AttemptEndedEvent& event) {
+    if (event.metadata.primary.value_or(true)) return true;
+    const Server* server = servers_.Find(event.server);
+    if (server == nullptr) return true;
+    const auto attempt = server->load.in_flight.find({event.id, event.attempt});
+    return attempt == server->load.in_flight.end() || !attempt->second.relies_on_primary_role;
+  }
+
  private:
   void On(const EndpointListEvent& event) { endpoint_list_.Apply(event); }
   void On(const RequestEvent& event) { router_.HandleRequest(event); }
@@ -157,4 +165,6 @@
   return impl_->SendDeadline(id, attempt, server);
 }
 
+bool Balancer::MayServe(const AttemptEndedEvent& event) const { return impl_->MayServe(event); }
+
 }  // namespace lynxgrade
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -33,6 +33,9 @@
   // which the last byte must have been sent. TimePoint::max(): no limit; a time that has passed: it must end
   // as kSendExpired. Considers all events that have been handled.
   TimePoint SendDeadline(RequestId id, AttemptNumber attempt, ServerId server);
+  // Whether a response with the outcome kOk may be served. To be asked before the event is handled. If not,
+  // its outcome is kMisrouted: the server was sent the read as the primary, and answered as a replica.
+  bool MayServe(const AttemptEndedEvent& event) const;
 
  private:
   class Impl;
--- a/src/routing/eligibility.cpp
+++ b/src/routing/eligibility.cpp
@@ -16,6 +16,14 @@
   return replication_.ProvenUntil(request, server);
 }
 
+bool Eligibility::ReliesOnPrimaryRole(const Request& request, const Server& server) const {
+  if (!MustProvePosition(request) || !replication_.IsPrimaryOfGroup(server)) return false;
+  const AccessKind kind = context_.ClassOf(request).kind;
+  if (kind == AccessKind::kBoundedRead || kind == AccessKind::kStrongRead) return true;
+  return kind == AccessKind::kSessionRead &&
+         !ReplicationState::IsProven(server, replication_.RequiredPosition(request));
+}
+
 bool Eligibility::MustProvePosition(const Request& request) const {
   return context_.settings().position_check == PositionCheck::kNone || request.event.require_proven_position;
 }
--- a/src/routing/eligibility.h
+++ b/src/routing/eligibility.h
@@ -25,6 +25,8 @@
   // until then the server is proven to have the data that the read requires. TimePoint::max(): no limit;
   // TimePoint::min(): it must not be sent.
   TimePoint SendDeadline(const Request& request, const Server& server) const;
+  // Whether the server may answer the read only because it is the primary.
+  bool ReliesOnPrimaryRole(const Request& request, const Server& server) const;
   // Whether a read may go only to a server that is proven to have reached the required position.
   bool MustProvePosition(const Request& request) const;
   // The servers that a read may go to now: usable replicas that are expected to have reached its position,
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -114,6 +114,7 @@
                           .overflow = route.overflow,
                           .required_position = required,
                           .position_unknown = !parts_.replication.IsKnown(server, required),
+                          .relies_on_primary_role = parts_.eligibility.ReliesOnPrimaryRole(request, server),
                           .in_flight_at_start = server.load.in_flight.size() + 1};
   server.load.in_flight[{request.event.id, number}] = attempt;
   if (route.overflow) parts_.primary_overflow.RecordSent(server);
@@ -126,6 +127,7 @@
   const Request* request = Find(id);
   const auto in_flight = server.load.in_flight.find({id, attempt});
   if (request == nullptr || in_flight == server.load.in_flight.end()) return TimePoint::min();
+  in_flight->second.relies_on_primary_role = parts_.eligibility.ReliesOnPrimaryRole(*request, server);
   return parts_.eligibility.SendDeadline(*request, server);
 }
 
--- a/src/routing/server.h
+++ b/src/routing/server.h
@@ -31,8 +31,9 @@
   ClassIndex request_class = 0;
   bool overflow = false;  // a read sent to the primary, counted in its overflow window
   std::optional<LogPosition> required_position;
-  bool position_unknown = false;       // sent while the server's position was unknown
-  std::size_t in_flight_at_start = 0;  // this instance's attempts at the server, this one included
+  bool position_unknown = false;        // sent while the server's position was unknown
+  bool relies_on_primary_role = false;  // a read that this server may answer only as the primary
+  std::size_t in_flight_at_start = 0;   // this instance's attempts at the server, this one included
 };
 
 // Attempts in flight to the server and their latency. Kept by LatencyModel and RequestRouter.
--- a/tests/proxy/read_age_test.cpp
+++ b/tests/proxy/read_age_test.cpp
@@ -13,21 +13,20 @@
 
 std::time_t wall_clock_step_seconds = 0;
 
-} // namespace
+}  // namespace
 
 // Replaces the C library's function in this program, so that a test can step
 // the wall clock of the process.
 extern "C" int clock_gettime(clockid_t clock, timespec *time) noexcept {
   const auto result = static_cast<int>(syscall(SYS_clock_gettime, clock, time));
-  if (result == 0 && clock == CLOCK_REALTIME)
-    time->tv_sec += wall_clock_step_seconds;
+  if (result == 0 && clock == CLOCK_REALTIME) time->tv_sec += wall_clock_step_seconds;
   return result;
 }
 
 namespace lynxgrade {
 namespace {
 
-constexpr Duration kBound = 100 * kMs; // shorter than the connect timeout
+constexpr Duration kBound = 100 * kMs;  // shorter than the connect timeout
 
 // Servers that do not check positions; the class "any" is of the given kind.
 Settings UncheckedSettings(AccessKind kind) {
@@ -41,36 +40,29 @@
 
 // A load report with the role and the position.
 std::string Report(bool primary, TimePoint position) {
-  return "x1=" + std::to_string(primary ? 1 : 0) + ",x0=" +
-         std::to_string(
-             static_cast<double>(position.time_since_epoch().count()) / 1e6);
+  return "x1=" + std::to_string(primary ? 1 : 0) +
+         ",x0=" + std::to_string(static_cast<double>(position.time_since_epoch().count()) / 1e6);
 }
 
 // Answers each query with the value and the role.
 QueryHandler Answer(const char *value, const char *role) {
-  return [=](TestConnection &connection, const std::string &) {
-    connection.Send(RowResponse(value, role));
-  };
+  return [=](TestConnection &connection, const std::string &) { connection.Send(RowResponse(value, role)); };
 }
 
 struct ReadFleet : SimulatedFleet {
-  explicit ReadFleet(AccessKind kind)
-      : SimulatedFleet(200, UncheckedSettings(kind)) {}
+  explicit ReadFleet(AccessKind kind) : SimulatedFleet(200, UncheckedSettings(kind)) {}
   // Has the server report its role and the present time as its position at each
   // health check.
   void ReportPresent(DataServer &server, bool primary) {
-    server.before_response = [this, &server, primary](TestConnection &,
-                                                      const std::string &text) {
-      if (text == "SHOW pressure")
-        server.load_report = Report(primary, loop.PreciseNow() - 1 * kMs);
+    server.before_response = [this, &server, primary](TestConnection &, const std::string &text) {
+      if (text == "SHOW pressure") server.load_report = Report(primary, loop.PreciseNow() - 1 * kMs);
     };
   }
   // Closes the server's connections; further ones do not come up until
   // AcceptConnections.
   void HoldConnections(DataServer &server) {
     server.accepts_startup = false;
-    for (auto &connection : server.connections)
-      connection->connection->Close();
+    for (auto &connection : server.connections) connection->connection->Close();
     held_from = server.connections.size();
     RunUntil([&] { return pool.idle() == 0; });
   }
@@ -78,8 +70,7 @@
     server.accepts_startup = true;
     for (std::size_t i = held_from; i < server.connections.size(); ++i) {
       TestConnection &connection = *server.connections[i];
-      if (connection.startup_received && !connection.peer_closed)
-        connection.Send(StartupResponse());
+      if (connection.startup_received && !connection.peer_closed) connection.Send(StartupResponse());
     }
   }
   // Sends a read and waits for its response, so that the position or role of a
@@ -95,36 +86,32 @@
     bool served = false;
     for (int i = 0; i < 100 && !served; ++i) {
       TestConnection &client = ConnectClient({RequestText("any", "k", 60000)});
-      RunUntil([&] {
-        return client.HasReceived("SELECT 1") || client.HasReceived("53300");
-      });
+      RunUntil([&] { return client.HasReceived("SELECT 1") || client.HasReceived("53300"); });
       served = client.HasReceived("SELECT 1");
       RunFor(20 * kMs);
     }
     CHECK(served);
   }
-  void RunFor(Duration duration) {
-    RunLoopFor(loop, static_cast<int>(duration / kMs));
-  }
+  void RunFor(Duration duration) { RunLoopFor(loop, static_cast<int>(duration / kMs)); }
   std::size_t held_from = 0;
 };
 
 // Guards against a bounded read that is routed to recent data and sent when
 // they are too old, since its connection came up late (review/10, issue 66).
-TEST_CASE("a bounded read whose connection comes up after its bound waits for "
-          "a newer position") {
+TEST_CASE(
+    "a bounded read whose connection comes up after its bound waits for "
+    "a newer position") {
   ReadFleet fleet(AccessKind::kBoundedRead);
   DataServer &server = fleet.AddServer(Answer("value", "standby"));
   fleet.ReportPresent(server, false);
   fleet.ApplyEndpointList();
   fleet.CompleteRead("value");
   server.load_report = Report(false, fleet.loop.PreciseNow());
-  server.before_response = nullptr; // its position stands still from now on
+  server.before_response = nullptr;  // its position stands still from now on
   fleet.CompleteRead("value");
   const std::size_t queries = server.queries.size();
   fleet.HoldConnections(server);
-  TestConnection &client =
-      fleet.ConnectClient({RequestText("any", "k", 60000)});
+  TestConnection &client = fleet.ConnectClient({RequestText("any", "k", 60000)});
   fleet.RunUntil([&] { return fleet.proxy.requests_in_flight() == 1; });
   fleet.RunFor(kBound + 30 * kMs);
   fleet.AcceptConnections(server);
@@ -137,8 +124,7 @@
 
 // Guards against a strong read that is sent to its former primary, since its
 // connection came up late.
-TEST_CASE(
-    "a strong read that waits for its connection follows a change of primary") {
+TEST_CASE("a strong read that waits for its connection follows a change of primary") {
   ReadFleet fleet(AccessKind::kStrongRead);
   DataServer &former = fleet.AddServer(Answer("former", "primary"));
   DataServer &successor = fleet.AddServer(Answer("successor", "primary"));
@@ -147,8 +133,7 @@
   fleet.ApplyEndpointList();
   fleet.CompleteRead("former");
   fleet.HoldConnections(former);
-  TestConnection &client =
-      fleet.ConnectClient({RequestText("any", "k", 60000)});
+  TestConnection &client = fleet.ConnectClient({RequestText("any", "k", 60000)});
   fleet.RunUntil([&] { return former.connections.size() > fleet.held_from; });
   const std::size_t queries = former.queries.size();
   fleet.ReportPresent(successor, true);
@@ -160,10 +145,28 @@
   CHECK(former.queries.size() == queries);
 }
 
+// Guards against the answer of a former primary that had been replaced before
+// the pooler heard of it.
+TEST_CASE("a strong read that is answered by a replica is sent to the new primary") {
+  ReadFleet fleet(AccessKind::kStrongRead);
+  DataServer &former = fleet.AddServer(Answer("former", "primary"));
+  DataServer &successor = fleet.AddServer(Answer("successor", "primary"));
+  fleet.ReportPresent(former, true);
+  fleet.ReportPresent(successor, false);
+  fleet.ApplyEndpointList();
+  fleet.CompleteRead("former");
+  former.on_query = Answer("outdated", "standby");
+  fleet.ReportPresent(former, false);
+  fleet.ReportPresent(successor, true);
+  TestConnection &client = fleet.ConnectClient({RequestText("any", "k", 60000)});
+  fleet.RunUntil([&] { return client.HasReceived("SELECT 1"); });
+  CHECK(client.HasReceived("successor"));
+  CHECK_FALSE(client.HasReceived("outdated"));
+}
+
 // Guards against positions that are compared with a wall clock which has been
 // stepped since the start.
-TEST_CASE(
-    "a step of the wall clock changes neither what is served nor what is not") {
+TEST_CASE("a step of the wall clock changes neither what is served nor what is not") {
   for (const std::time_t step : {std::time_t{3600}, std::time_t{-3600}}) {
     CAPTURE(step);
     ReadFleet fleet(AccessKind::kBoundedRead);
@@ -181,8 +184,7 @@
     server.load_report = Report(false, fleet.loop.PreciseNow() - 2 * kBound);
     fleet.RunFor(kBound + 30 * kMs);
     const std::size_t queries = server.queries.size();
-    TestConnection &client =
-        fleet.ConnectClient({RequestText("any", "k", 60000)});
+    TestConnection &client = fleet.ConnectClient({RequestText("any", "k", 60000)});
     fleet.RunFor(200 * kMs);
     CHECK(server.queries.size() == queries);
     CHECK_FALSE(client.HasReceived("SELECT 1"));
@@ -190,5 +192,5 @@
   }
 }
 
-} // namespace
-} // namespace lynxgrade
+}  // namespace
+}  // namespace lynxgrade
--- a/tests/routing/balancer_send_deadline_test.cpp
+++ b/tests/routing/balancer_send_deadline_test.cpp
@@ -180,5 +180,20 @@
   EXPECT_EQ(once.failed, std::vector<RequestId>{unrepeatable});
 }
 
+// Guards against the answer of a server that took a read as the primary and had been replaced by then.
+TEST(ResponseOfAFormerPrimary, IsNotServed) {
+  UncheckedInstance instance;
+  instance.ReportPrimaryAt(kPrimary, instance.now());
+  const RequestId strong = instance.SendRequest(kStrongRead);
+  EXPECT_TRUE(instance.MayServe(strong, {std::nullopt, true}));
+  EXPECT_TRUE(instance.MayServe(strong, {std::nullopt, std::nullopt}));
+  EXPECT_FALSE(instance.MayServe(strong, {std::nullopt, false}));
+  const RequestId bounded = instance.SendRequest(kBoundedRead);
+  ASSERT_EQ(instance.LastServerOf(bounded), kReplicaA);
+  EXPECT_TRUE(instance.MayServe(bounded, {std::nullopt, false}));
+  const RequestId eventual = instance.SendRequest(kEventualRead);
+  EXPECT_TRUE(instance.MayServe(eventual, {std::nullopt, false}));
+}
+
 }  // namespace
 }  // namespace lynxgrade
--- a/tests/routing/simulated_instance.h
+++ b/tests/routing/simulated_instance.h
@@ -115,6 +115,18 @@
     const auto& servers = attempts_.at(id);
     return balancer_.SendDeadline(id, static_cast<AttemptNumber>(servers.size() - 1), servers.back());
   }
+  // Whether the latest attempt of a request may be served with a response that has the metadata.
+  bool MayServe(RequestId id, ResponseMetadata metadata) const {
+    const auto& servers = attempts_.at(id);
+    AttemptEndedEvent event;
+    event.id = id;
+    event.attempt = static_cast<AttemptNumber>(servers.size() - 1);
+    event.server = servers.back();
+    event.outcome = Outcome::kOk;
+    event.metadata = metadata;
+    return balancer_.MayServe(event);
+  }
+
   // Ends the latest attempt of a request; `late`: how long after the time of the event the host noticed it.
   void EndAttempt(RequestId id, Outcome outcome, ResponseMetadata metadata = {}, Duration taken = 10_ms,
                   Duration late = 0_ms) {
