Take off the positions by how much their clock is ahead of the pooler's own

Cause: the age of a position was taken against a clock that is set to Unix time when the process starts. A step after the start changes nothing (held by a test).

Change: a position later than the clock by which it was read shows how far that clock is behind at least; the largest such lead of a group in the last 10 to 20 s is taken off (estimation::ClockLead), and no position counts for later than its receipt. On one clock the lead is zero, so nothing changes. Receipts are dated by the clock as it stands, not by the pass of the loop, so a long pass is no lead.

--- a/src/estimation/replica_position.cpp
+++ b/src/estimation/replica_position.cpp
@@ -18,7 +18,9 @@
 
 }  // namespace
 
-bool ReplicaPosition::RecordPosition(Instant now, Instant position) {
+bool ReplicaPosition::RecordPosition(Instant now, Instant position, Instant received) {
+  const Instant at_receipt = std::min(position, received);
+  proven_by_receipt_ = std::max(at_receipt, proven_by_receipt_.value_or(at_receipt));
   if (proven_ && position <= *proven_ && now - last_reported_at_ < kRepeatWindow) return false;
   proven_ = std::max(position, proven_.value_or(position));
   last_reported_at_ = now;
@@ -33,6 +35,11 @@
   return true;
 }
 
+std::optional<Instant> ReplicaPosition::ProvenTime(Duration clock_lead) const {
+  if (!proven_) return std::nullopt;
+  return std::min(*proven_ - clock_lead, *proven_by_receipt_);
+}
+
 Instant ReplicaPosition::ExpectedPosition(Instant now) const {
   return proven_.value_or(Instant{0}) + Scale(now - last_reported_at_, std::min(1.0, apply_rate_));
 }
--- a/src/estimation/replica_position.h
+++ b/src/estimation/replica_position.h
@@ -19,13 +19,16 @@
 // The estimate for one server. Reads no clock.
 class ReplicaPosition {
  public:
-  // Records a report of the position, received at `now`. Returns false if it repeats a recent one.
-  bool RecordPosition(Instant now, Instant position);
+  // Records a report of the position. `now` is the time of the event, `received` that at which the report was
+  // read, which may be later. Returns false if it repeats a recent one.
+  bool RecordPosition(Instant now, Instant position, Instant received);
+  bool RecordPosition(Instant now, Instant position) { return RecordPosition(now, position, now); }
 
-  // The newest position that the server is proven to have reached.
-  std::optional<Instant> proven() const { return proven_; }
   // Whether the server is proven to have reached `target`.
   bool IsProven(Instant target) const { return proven_ && *proven_ >= target; }
+  // The time on the instance's clock up to which the server is proven to hold all commits, if the clock of
+  // the positions is ahead by `clock_lead`. Never later than when the report was read.
+  std::optional<Instant> ProvenTime(Duration clock_lead) const;
   // The position extrapolated to `now` at the measured apply rate, which is limited to the clock's.
   Instant ExpectedPosition(Instant now) const;
   // Whether it is known if the server has reached `target`: either this is proven, or the last report is
@@ -47,6 +50,7 @@
 
  private:
   std::optional<Instant> proven_;
+  std::optional<Instant> proven_by_receipt_;  // the newest position, each limited to when it was read
   Instant last_reported_at_{0};
   double apply_rate_ = 1;  // position time per clock time; 1 is assumed until it is measured
   bool is_apply_rate_measured_ = false;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -242,6 +242,7 @@
 
 void Proxy::OnHealthCheckFinished(const HealthCheckEvent& health_check) {
   Event event = health_check;
+  std::get<HealthCheckEvent>(event).received = loop_.PreciseNow();
   PrepareEvent(event);
   HandleEvent(std::move(event));
 }
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -78,8 +78,9 @@
   void RecordAttemptEnd(Server& server, const InFlightAttempt& attempt, const AttemptEndedEvent& event) {
     if (attempt.overflow) primary_overflow_.RecordEnd(server, event.outcome);
     RecordReadOfPosition(server, attempt, event.outcome);
-    replication_.RecordResponse(server, context_.settings().classes[attempt.request_class], event.metadata);
-    if (event.report) replication_.RecordReport(server, *event.report);
+    replication_.RecordResponse(server, context_.settings().classes[attempt.request_class], event.metadata,
+                                event.received);
+    if (event.report) replication_.RecordReport(server, *event.report, event.received);
     const Duration elapsed = std::min(event.elapsed, context_.now() - attempt.sent);
     if (event.outcome == Outcome::kOk) {
       latencies_.RecordResponse(server, attempt, elapsed);
--- a/src/routing/events.h
+++ b/src/routing/events.h
@@ -90,7 +90,7 @@
   bool request_done = false;  // the host has sent the final answer
   ResponseMetadata metadata{};
   std::optional<LoadReport> report{};
-  std::optional<TimePoint> received{};  // when the host ended the attempt; absent: now
+  std::optional<TimePoint> received{};  // when the host read the response, or ended the attempt; absent: now
 };
 
 // The first byte of a response was sent to the client, so that no other attempt can be made.
@@ -106,6 +106,7 @@
   Outcome outcome = Outcome::kError;
   Duration elapsed{0};
   std::optional<LoadReport> report{};
+  std::optional<TimePoint> received{};  // when the host read the result; absent: now
 };
 
 struct TimerEvent {
--- a/src/routing/health_checks.cpp
+++ b/src/routing/health_checks.cpp
@@ -76,7 +76,7 @@
   server.health_check.in_flight = false;
   server.ejection.down = server.ejection.consecutive_failures > 0 && event.outcome != Outcome::kOk &&
                          event.outcome != Outcome::kError;
-  if (event.report) replication_.RecordReport(server, *event.report);
+  if (event.report) replication_.RecordReport(server, *event.report, event.received);
 }
 
 }  // namespace lynxgrade
--- a/src/routing/replication_state.cpp
+++ b/src/routing/replication_state.cpp
@@ -15,31 +15,35 @@
   context_.RequestRetryOfWaiting();
 }
 
-void ReplicationState::RecordPosition(Server& server, LogPosition position) {
-  if (server.position.RecordPosition(context_.now_since_epoch(), position.time_since_epoch())) {
+void ReplicationState::RecordPosition(Server& server, LogPosition position,
+                                      std::optional<TimePoint> received) {
+  const Duration read_at = std::max(received.value_or(context_.now()), context_.now()).time_since_epoch();
+  servers_.GroupOf(server.group).clock_lead.Record(read_at, position.time_since_epoch());
+  if (server.position.RecordPosition(context_.now_since_epoch(), position.time_since_epoch(), read_at)) {
     context_.RequestRetryOfWaiting();
   }
 }
 
 void ReplicationState::RecordResponse(Server& server, const RequestClass& request_class,
-                                      const ResponseMetadata& metadata) {
+                                      const ResponseMetadata& metadata, std::optional<TimePoint> received) {
   if (metadata.primary) {
     RecordRole(server, *metadata.primary ? ServerRole::kPrimary : ServerRole::kReplica, context_.now());
   }
   if (!metadata.position) return;
   const bool is_write = request_class.kind == AccessKind::kWrite;
   if (!is_write && !context_.settings().responses_report_position) return;
-  if (!is_write || metadata.primary.value_or(true)) RecordPosition(server, *metadata.position);
+  if (!is_write || metadata.primary.value_or(true)) RecordPosition(server, *metadata.position, received);
 }
 
-void ReplicationState::RecordReport(Server& server, const LoadReport& report) {
+void ReplicationState::RecordReport(Server& server, const LoadReport& report,
+                                    std::optional<TimePoint> received) {
   if (report.queued) server.load.queued = *report.queued;
   if (report.primary && report.position) {
     // The position dates the reported role: a primary's position is the current time, and a replica's is not
     // later.
     RecordRole(server, *report.primary ? ServerRole::kPrimary : ServerRole::kReplica, *report.position);
   }
-  if (report.position) RecordPosition(server, *report.position);
+  if (report.position) RecordPosition(server, *report.position, received);
 }
 
 Server* ReplicationState::PrimaryOf(GroupId group) const {
@@ -55,7 +59,8 @@
 std::optional<LogPosition> ReplicationState::RequiredPosition(const Request& request) const {
   const RequestClass& request_class = context_.ClassOf(request);
   if (request_class.kind == AccessKind::kBoundedRead) {
-    return std::max(context_.now(), request.last_expired) - request_class.staleness_bound;
+    const Duration lead = servers_.GroupOf(request.event.group).clock_lead.At(context_.now_since_epoch());
+    return std::max(context_.now(), request.last_expired) + lead - request_class.staleness_bound;
   }
   if (request_class.kind == AccessKind::kSessionRead) return request.event.required_position;
   return std::nullopt;
@@ -67,7 +72,8 @@
   if (request_class.kind != AccessKind::kBoundedRead) {
     return IsProven(server, RequiredPosition(request)) ? TimePoint::max() : TimePoint::min();
   }
-  const auto proven = server.position.proven();
+  const Duration lead = servers_.GroupOf(server.group).clock_lead.At(context_.now_since_epoch());
+  const auto proven = server.position.ProvenTime(lead);
   return proven ? TimePoint(*proven) + request_class.staleness_bound : TimePoint::min();
 }
 
--- a/src/routing/replication_state.h
+++ b/src/routing/replication_state.h
@@ -18,12 +18,15 @@
 
   // Records evidence that the server had the role at the time `when`.
   void RecordRole(Server& server, ServerRole role, TimePoint when);
-  // Records a position that the server has reached according to its own report or response.
-  void RecordPosition(Server& server, LogPosition position);
+  // Records a position that the server has reached according to its own report or response, which was read at
+  // `received`, or at the time of the event if that is later.
+  void RecordPosition(Server& server, LogPosition position, std::optional<TimePoint> received = std::nullopt);
   // Records the role and position that came with a response to a request of the class.
-  void RecordResponse(Server& server, const RequestClass& request_class, const ResponseMetadata& metadata);
+  void RecordResponse(Server& server, const RequestClass& request_class, const ResponseMetadata& metadata,
+                      std::optional<TimePoint> received = std::nullopt);
   // Records a load report of the server.
-  void RecordReport(Server& server, const LoadReport& report);
+  void RecordReport(Server& server, const LoadReport& report,
+                    std::optional<TimePoint> received = std::nullopt);
 
   // Returns the server with the newest evidence of being the group's primary; null if there is none.
   Server* PrimaryOf(GroupId group) const;
--- a/src/routing/server.h
+++ b/src/routing/server.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "estimation/clock_lead.h"
 #include "estimation/replica_position.h"
 #include "fleet/demand.h"
 #include "fleet/latency.h"
@@ -99,8 +100,9 @@
 
 struct Group {
   std::vector<ServerId> servers;
-  std::uint64_t role_changes = 0;  // how often a server became the primary
-  bool searching_primary = false;  // the primary is unknown, or is presumed to be down
+  std::uint64_t role_changes = 0;    // how often a server became the primary
+  bool searching_primary = false;    // the primary is unknown, or is presumed to be down
+  estimation::ClockLead clock_lead;  // of its servers' positions
   PerRole<fleet::DemandEstimator> demand;
   PerRole<fleet::GroupLatencyEstimator> latency;
 };
--- a/tests/estimation/estimation_test.cpp
+++ b/tests/estimation/estimation_test.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "estimation/client_patience_estimator.h"
+#include "estimation/clock_lead.h"
 #include "estimation/first_attempt_estimator.h"
 #include "estimation/replica_position.h"
 
@@ -262,5 +263,36 @@
   CHECK(first.MedianPatience() == 1);
 }
 
+// Guards against positions that look recent since the instance's own clock is behind.
+TEST_CASE(
+    "the lead of the positions' clock is the largest of the last ten seconds, and forgotten after twenty") {
+  ClockLead lead;
+  const auto at = [](int seconds) { return Duration(seconds * 1000000); };
+  CHECK(lead.At(at(100)) == Duration{0});
+  lead.Record(at(100), at(99));  // behind: says nothing
+  CHECK(lead.At(at(100)) == Duration{0});
+  lead.Record(at(100), at(107));
+  lead.Record(at(101), at(104));
+  CHECK(lead.At(at(109)) == at(7));
+  lead.Record(at(110), at(112));  // the next period
+  CHECK(lead.At(at(110)) == at(7));
+  CHECK(lead.At(at(119)) == at(7));
+  CHECK(lead.At(at(120)) == at(2));
+  CHECK(lead.At(at(130)) == Duration{0});
+  lead.Record(at(200), at(201));  // what was seen long ago does not come back
+  CHECK(lead.At(at(200)) == at(1));
+}
+
+TEST_CASE("the proven time of a position is neither later than its receipt nor than its clock allows") {
+  ReplicaPosition position;
+  CHECK_FALSE(position.ProvenTime(Duration{0}).has_value());
+  position.RecordPosition(Duration(1000), Duration(900), Duration(1050));
+  CHECK(position.ProvenTime(Duration{0}) == Duration(900));
+  CHECK(position.ProvenTime(Duration(300)) == Duration(600));
+  position.RecordPosition(Duration(200000), Duration(900000), Duration(210000));
+  CHECK(position.ProvenTime(Duration{0}) == Duration(210000));
+  CHECK(position.ProvenTime(Duration(800000)) == Duration(100000));
+}
+
 }  // namespace
 }  // namespace lynxgrade::estimation
--- a/tests/proxy/read_age_test.cpp
+++ b/tests/proxy/read_age_test.cpp
@@ -192,5 +192,34 @@
   }
 }
 
+// Guards against stale data that look recent since the wall clock was wrong
+// when the process started.
+TEST_CASE("a wall clock that was behind at the start does not make old data recent") {
+  wall_clock_step_seconds = -3600;
+  ReadFleet fleet(AccessKind::kBoundedRead);
+  wall_clock_step_seconds = 0;
+  static constexpr Duration kBehind = 3600 * 1000 * kMs;
+  DataServer &primary = fleet.AddServer(Answer("primary value", "primary"));
+  DataServer &replica = fleet.AddServer(Answer("replica value", "standby"));
+  const auto report_at = [&fleet](DataServer &server, bool is_primary, Duration age) {
+    server.before_response = [&fleet, &server, is_primary, age](TestConnection &, const std::string &text) {
+      if (text == "SHOW pressure") {
+        server.load_report = Report(is_primary, fleet.loop.PreciseNow() + kBehind - age);
+      }
+    };
+  };
+  report_at(primary, true, Duration{0});
+  report_at(replica, false, 5 * kBound);
+  fleet.ApplyEndpointList();
+  fleet.RunFor(600 * kMs);
+  TestConnection &client = fleet.ConnectClient({RequestText("any", "k", 60000)});
+  fleet.RunFor(300 * kMs);
+  CHECK(replica.queries.empty());
+  CHECK_FALSE(client.HasReceived("SELECT 1"));
+  report_at(replica, false, 5 * kMs);
+  fleet.AwaitServedRead();
+  CHECK_FALSE(replica.queries.empty());
+}
+
 }  // namespace
 }  // namespace lynxgrade
--- a/tests/routing/balancer_send_deadline_test.cpp
+++ b/tests/routing/balancer_send_deadline_test.cpp
@@ -195,5 +195,20 @@
   EXPECT_TRUE(instance.MayServe(eventual, {std::nullopt, false}));
 }
 
+// Guards against stale data that look recent since the clock of this instance was set back before its start.
+TEST(ClockBehind, IsTakenOffThePositions) {
+  UncheckedInstance instance;
+  constexpr Duration kAhead = 3600000_ms;  // the clock of the servers
+  instance.ReportPrimaryAt(kPrimary, instance.now() + kAhead);
+  instance.ReportReplicaAt(kReplicaA, instance.now() + kAhead - 5000_ms);
+  instance.ReportReplicaAt(kReplicaB, instance.now() + kAhead - 5000_ms);
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  EXPECT_EQ(instance.AttemptsOf(id), 0u);
+  instance.ReportReplicaAt(kReplicaB, instance.now() + kAhead - 40_ms);
+  ASSERT_EQ(instance.AttemptsOf(id), 1u);
+  EXPECT_EQ(instance.LastServerOf(id), kReplicaB);
+  EXPECT_EQ(instance.SendDeadlineOf(id), instance.now() - 40_ms + kBound);
+}
+
 }  // namespace
 }  // namespace lynxgrade
