Take a write's commit time for what it is as a position: rounded up

It counted as a position that the server has reached, up to 1 ms more than it holds; once that server is a replica, a bounded read could be that much older than its bound.

Change: one millisecond is taken off before the commit time counts as a position.

--- a/src/routing/replication_state.cpp
+++ b/src/routing/replication_state.cpp
@@ -3,6 +3,14 @@
 #include <algorithm>
 
 namespace lynxgrade {
+namespace {
+
+// The response to a write has the time of its commit, rounded up to this unit. All other positions are
+// rounded down.
+constexpr Duration kCommitTimeUnit{1000};
+
+}  // namespace
+
 void ReplicationState::RecordRole(Server& server, ServerRole role, TimePoint when) {
   const bool was_primary = server.IsPrimary();
   std::optional<TimePoint>& evidence =
@@ -32,7 +40,10 @@
   if (!metadata.position) return;
   const bool is_write = request_class.kind == AccessKind::kWrite;
   if (!is_write && !context_.settings().responses_report_position) return;
-  if (!is_write || metadata.primary.value_or(true)) RecordPosition(server, *metadata.position, received);
+  if (!is_write) return RecordPosition(server, *metadata.position, received);
+  if (metadata.primary.value_or(true)) {
+    RecordPosition(server, *metadata.position - kCommitTimeUnit, received);
+  }
 }
 
 void ReplicationState::RecordReport(Server& server, const LoadReport& report,
--- a/tests/routing/balancer_send_deadline_test.cpp
+++ b/tests/routing/balancer_send_deadline_test.cpp
@@ -210,5 +210,19 @@
   EXPECT_EQ(instance.SendDeadlineOf(id), instance.now() - 40_ms + kBound);
 }
 
+// Guards against a commit time that is rounded up and taken for a position.
+TEST(CommitTime, ProvesThePositionBeforeItsRounding) {
+  SimulatedInstance instance(UncheckedSettings());
+  instance.UpdateList({{.server = kPrimary, .group = kGroup, .primary = true}});
+  const RequestId write = instance.SendRequest(kWriteWithKey);
+  instance.EndAttempt(write, Outcome::kOk, {instance.now() - 10_ms, true});
+  const RequestId misrouted = instance.SendRequest(kWriteWithKey);
+  instance.Advance(1_ms);
+  instance.EndAttempt(misrouted, Outcome::kMisrouted, {std::nullopt, false});
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  ASSERT_EQ(instance.AttemptsOf(id), 1u);
+  EXPECT_EQ(instance.SendDeadlineOf(id), instance.now() - 11_ms - 1_ms + kBound);
+}
+
 }  // namespace
 }  // namespace lynxgrade
