Test the response that comes before it is known when its statement was sent

Cause: the check of a response whose statement waited in the kernel over a standstill had no case; the linter refused three lines of the new tests, and some were not in the project's layout.

--- a/tests/proxy/read_age_test.cpp
+++ b/tests/proxy/read_age_test.cpp
@@ -1,6 +1,6 @@
-// Reads that must not be answered from data older than their class allows, in
-// the whole pooler on real sockets: what is sent is judged by what is known
-// when it is sent, and what is answered by the role that the answer names.
+// Reads that must not be answered from data older than their class allows, in the whole pooler on real
+// sockets: what is sent is judged by what is known when it is sent, and what is answered by the role that the
+// answer names.
 #include <sys/syscall.h>
 #include <unistd.h>
 
@@ -15,9 +15,9 @@
 
 }  // namespace
 
-// Replaces the C library's function in this program, so that a test can step
-// the wall clock of the process.
-extern "C" int clock_gettime(clockid_t clock, timespec *time) noexcept {
+// Replaces the C library's function in this program, so that a test can step the wall clock of the process.
+// The declaration has reserved names. NOLINTNEXTLINE(readability-inconsistent-declaration-parameter-name)
+extern "C" int clock_gettime(clockid_t clock, timespec* time) noexcept {
   const auto result = static_cast<int>(syscall(SYS_clock_gettime, clock, time));
   if (result == 0 && clock == CLOCK_REALTIME) time->tv_sec += wall_clock_step_seconds;
   return result;
@@ -45,38 +45,35 @@
 }
 
 // Answers each query with the value and the role.
-QueryHandler Answer(const char *value, const char *role) {
-  return [=](TestConnection &connection, const std::string &) { connection.Send(RowResponse(value, role)); };
+QueryHandler Answer(const char* value, const char* role) {
+  return [=](TestConnection& connection, const std::string&) { connection.Send(RowResponse(value, role)); };
 }
 
 struct ReadFleet : SimulatedFleet {
   explicit ReadFleet(AccessKind kind) : SimulatedFleet(200, UncheckedSettings(kind)) {}
-  // Has the server report its role and the present time as its position at each
-  // health check.
-  void ReportPresent(DataServer &server, bool primary) {
-    server.before_response = [this, &server, primary](TestConnection &, const std::string &text) {
+  // Has the server report its role and the present time as its position at each health check.
+  void ReportPresent(DataServer& server, bool primary) {
+    server.before_response = [this, &server, primary](TestConnection&, const std::string& text) {
       if (text == "SHOW pressure") server.load_report = Report(primary, loop.PreciseNow() - 1 * kMs);
     };
   }
-  // Closes the server's connections; further ones do not come up until
-  // AcceptConnections.
-  void HoldConnections(DataServer &server) {
+  // Closes the server's connections; further ones do not come up until AcceptConnections.
+  void HoldConnections(DataServer& server) {
     server.accepts_startup = false;
-    for (auto &connection : server.connections) connection->connection->Close();
+    for (auto& connection : server.connections) connection->connection->Close();
     held_from = server.connections.size();
     RunUntil([&] { return pool.idle() == 0; });
   }
-  void AcceptConnections(DataServer &server) {
+  void AcceptConnections(DataServer& server) {
     server.accepts_startup = true;
     for (std::size_t i = held_from; i < server.connections.size(); ++i) {
-      TestConnection &connection = *server.connections[i];
+      TestConnection& connection = *server.connections[i];
       if (connection.startup_received && !connection.peer_closed) connection.Send(StartupResponse());
     }
   }
-  // Sends a read and waits for its response, so that the position or role of a
-  // server has been reported.
-  void CompleteRead(const std::string &value) {
-    TestConnection &client = ConnectClient({RequestText("any", "k", 60000)});
+  // Sends a read and waits for its response, so that the position or role of a server has been reported.
+  void CompleteRead(const std::string& value) {
+    TestConnection& client = ConnectClient({RequestText("any", "k", 60000)});
     RunUntil([&] { return client.HasReceived("SELECT 1"); });
     CHECK(client.HasReceived(value));
     RunUntil([&] { return pool.idle() > 0; });
@@ -85,7 +82,7 @@
   void AwaitServedRead() {
     bool served = false;
     for (int i = 0; i < 100 && !served; ++i) {
-      TestConnection &client = ConnectClient({RequestText("any", "k", 60000)});
+      TestConnection& client = ConnectClient({RequestText("any", "k", 60000)});
       RunUntil([&] { return client.HasReceived("SELECT 1") || client.HasReceived("53300"); });
       served = client.HasReceived("SELECT 1");
       RunFor(20 * kMs);
@@ -96,13 +93,13 @@
   std::size_t held_from = 0;
 };
 
-// Guards against a bounded read that is routed to recent data and sent when
-// they are too old, since its connection came up late (review/10, issue 66).
+// Guards against a bounded read that is routed to recent data and sent when they are too old, since its
+// connection came up late (review/10, issue 66).
 TEST_CASE(
     "a bounded read whose connection comes up after its bound waits for "
     "a newer position") {
   ReadFleet fleet(AccessKind::kBoundedRead);
-  DataServer &server = fleet.AddServer(Answer("value", "standby"));
+  DataServer& server = fleet.AddServer(Answer("value", "standby"));
   fleet.ReportPresent(server, false);
   fleet.ApplyEndpointList();
   fleet.CompleteRead("value");
@@ -111,7 +108,7 @@
   fleet.CompleteRead("value");
   const std::size_t queries = server.queries.size();
   fleet.HoldConnections(server);
-  TestConnection &client = fleet.ConnectClient({RequestText("any", "k", 60000)});
+  TestConnection& client = fleet.ConnectClient({RequestText("any", "k", 60000)});
   fleet.RunUntil([&] { return fleet.proxy.requests_in_flight() == 1; });
   fleet.RunFor(kBound + 30 * kMs);
   fleet.AcceptConnections(server);
@@ -122,18 +119,17 @@
   fleet.AwaitServedRead();
 }
 
-// Guards against a strong read that is sent to its former primary, since its
-// connection came up late.
+// Guards against a strong read that is sent to its former primary, since its connection came up late.
 TEST_CASE("a strong read that waits for its connection follows a change of primary") {
   ReadFleet fleet(AccessKind::kStrongRead);
-  DataServer &former = fleet.AddServer(Answer("former", "primary"));
-  DataServer &successor = fleet.AddServer(Answer("successor", "primary"));
+  DataServer& former = fleet.AddServer(Answer("former", "primary"));
+  DataServer& successor = fleet.AddServer(Answer("successor", "primary"));
   fleet.ReportPresent(former, true);
   fleet.ReportPresent(successor, false);
   fleet.ApplyEndpointList();
   fleet.CompleteRead("former");
   fleet.HoldConnections(former);
-  TestConnection &client = fleet.ConnectClient({RequestText("any", "k", 60000)});
+  TestConnection& client = fleet.ConnectClient({RequestText("any", "k", 60000)});
   fleet.RunUntil([&] { return former.connections.size() > fleet.held_from; });
   const std::size_t queries = former.queries.size();
   fleet.ReportPresent(successor, true);
@@ -145,12 +141,11 @@
   CHECK(former.queries.size() == queries);
 }
 
-// Guards against the answer of a former primary that had been replaced before
-// the pooler heard of it.
+// Guards against the answer of a former primary that had been replaced before the pooler heard of it.
 TEST_CASE("a strong read that is answered by a replica is sent to the new primary") {
   ReadFleet fleet(AccessKind::kStrongRead);
-  DataServer &former = fleet.AddServer(Answer("former", "primary"));
-  DataServer &successor = fleet.AddServer(Answer("successor", "primary"));
+  DataServer& former = fleet.AddServer(Answer("former", "primary"));
+  DataServer& successor = fleet.AddServer(Answer("successor", "primary"));
   fleet.ReportPresent(former, true);
   fleet.ReportPresent(successor, false);
   fleet.ApplyEndpointList();
@@ -158,19 +153,18 @@
   former.on_query = Answer("outdated", "standby");
   fleet.ReportPresent(former, false);
   fleet.ReportPresent(successor, true);
-  TestConnection &client = fleet.ConnectClient({RequestText("any", "k", 60000)});
+  TestConnection& client = fleet.ConnectClient({RequestText("any", "k", 60000)});
   fleet.RunUntil([&] { return client.HasReceived("SELECT 1"); });
   CHECK(client.HasReceived("successor"));
   CHECK_FALSE(client.HasReceived("outdated"));
 }
 
-// Guards against positions that are compared with a wall clock which has been
-// stepped since the start.
+// Guards against positions that are compared with a wall clock which has been stepped since the start.
 TEST_CASE("a step of the wall clock changes neither what is served nor what is not") {
   for (const std::time_t step : {std::time_t{3600}, std::time_t{-3600}}) {
     CAPTURE(step);
     ReadFleet fleet(AccessKind::kBoundedRead);
-    DataServer &server = fleet.AddServer(Answer("value", "standby"));
+    DataServer& server = fleet.AddServer(Answer("value", "standby"));
     fleet.ReportPresent(server, false);
     fleet.ApplyEndpointList();
     fleet.CompleteRead("value");
@@ -184,7 +178,7 @@
     server.load_report = Report(false, fleet.loop.PreciseNow() - 2 * kBound);
     fleet.RunFor(kBound + 30 * kMs);
     const std::size_t queries = server.queries.size();
-    TestConnection &client = fleet.ConnectClient({RequestText("any", "k", 60000)});
+    TestConnection& client = fleet.ConnectClient({RequestText("any", "k", 60000)});
     fleet.RunFor(200 * kMs);
     CHECK(server.queries.size() == queries);
     CHECK_FALSE(client.HasReceived("SELECT 1"));
@@ -192,17 +186,16 @@
   }
 }
 
-// Guards against stale data that look recent since the wall clock was wrong
-// when the process started.
+// Guards against stale data that look recent since the wall clock was wrong when the process started.
 TEST_CASE("a wall clock that was behind at the start does not make old data recent") {
   wall_clock_step_seconds = -3600;
   ReadFleet fleet(AccessKind::kBoundedRead);
   wall_clock_step_seconds = 0;
   static constexpr Duration kBehind = 3600 * 1000 * kMs;
-  DataServer &primary = fleet.AddServer(Answer("primary value", "primary"));
-  DataServer &replica = fleet.AddServer(Answer("replica value", "standby"));
-  const auto report_at = [&fleet](DataServer &server, bool is_primary, Duration age) {
-    server.before_response = [&fleet, &server, is_primary, age](TestConnection &, const std::string &text) {
+  DataServer& primary = fleet.AddServer(Answer("primary value", "primary"));
+  DataServer& replica = fleet.AddServer(Answer("replica value", "standby"));
+  const auto report_at = [&fleet](DataServer& server, bool is_primary, Duration age) {
+    server.before_response = [&fleet, &server, is_primary, age](TestConnection&, const std::string& text) {
       if (text == "SHOW pressure") {
         server.load_report = Report(is_primary, fleet.loop.PreciseNow() + kBehind - age);
       }
@@ -212,7 +205,7 @@
   report_at(replica, false, 5 * kBound);
   fleet.ApplyEndpointList();
   fleet.RunFor(600 * kMs);
-  TestConnection &client = fleet.ConnectClient({RequestText("any", "k", 60000)});
+  TestConnection& client = fleet.ConnectClient({RequestText("any", "k", 60000)});
   fleet.RunFor(300 * kMs);
   CHECK(replica.queries.empty());
   CHECK_FALSE(client.HasReceived("SELECT 1"));
--- a/tests/upstream/send_deadline_test.cpp
+++ b/tests/upstream/send_deadline_test.cpp
@@ -20,7 +20,9 @@
   SlowStatement(std::size_t size, int render_ms) : size(size), render_ms(render_ms) {}
   std::string TextWithBudget(Duration) const override {
     BlockThread(render_ms);
-    return std::string(size, 'x');
+    std::string text;
+    text.assign(size, 'x');
+    return text;
   }
   std::size_t size;
   int render_ms;
@@ -66,8 +68,7 @@
     fcntl(connection_, F_SETFL, O_NONBLOCK);
     RunLoopUntil([&] { return Read(), received > 0; }, loop);
     received = 0;
-    const std::string response = StartupResponse();
-    REQUIRE(send(connection_, response.data(), response.size(), 0) == static_cast<ssize_t>(response.size()));
+    Send(StartupResponse());
   }
   // Reads what has arrived; returns false at the end of the stream.
   bool Read() {
@@ -84,6 +85,10 @@
       for (int i = 0; i < 20; ++i, BlockThread(1)) Read();
     }
   }
+  void Send(const std::string& text) {
+    REQUIRE(send(connection_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+  }
+  void ShutdownSending() { shutdown(connection_, SHUT_WR); }
   std::size_t received = 0;
 
  private:
@@ -92,7 +97,6 @@
 };
 
 struct StalledFixture final : PoolFixture {
-  virtual ~StalledFixture() = default;
   StalledFixture() { pool.SetAddress(kServer, {"127.0.0.1", stalled.port()}); }
   Outcome Result() {
     RunLoopUntil([&] { return !attempt_results.empty(); }, loop);
@@ -223,6 +227,28 @@
   CHECK(fixture.pool.counts().late_attempts == 0);
 }
 
+// Guards against a response that is read, after a standstill, before it is known when its statement was sent.
+TEST_CASE("a response is not used if its statement may have left the kernel after the send deadline") {
+  for (const bool closes : {false, true}) {
+    CAPTURE(closes);
+    StalledFixture fixture;
+    fixture.send_deadline = fixture.loop.PreciseNow() + 300 * kMs;
+    fixture.statement = std::make_shared<SlowStatement>(20000, 0);
+    fixture.Send(5000);
+    fixture.stalled.Accept(fixture.loop);
+    RunLoopFor(fixture.loop, 20);
+    CHECK(fixture.attempt_results.empty());
+    BlockThread(300);
+    fixture.stalled.Drain();
+    CHECK(fixture.stalled.received >= 20000);
+    const std::string response = RowResponse("v");
+    constexpr std::size_t kReadyForQueryBytes = 6;
+    fixture.stalled.Send(closes ? response.substr(0, response.size() - kReadyForQueryBytes) : response);
+    if (closes) fixture.stalled.ShutdownSending();
+    CHECK(fixture.Result() == Outcome::kSentLate);
+  }
+}
+
 // Guards against the last part of a statement that is written after a standstill, before any timer is looked
 // at.
 TEST_CASE("the rest of a statement is not written after its deadline") {
