--- a/src/capacity/measurements.cpp
+++ b/src/capacity/measurements.cpp
@@ -13,7 +13,7 @@
 
 using Json = nlohmann::json;
 
-// A few own-reads require the conservative position in any run, after starts and failures. A larger share
+// A few session reads require the conservative position in any run, after starts and failures. A larger share
 // means that the limit on lease acquires or the budget of bytes took effect.
 constexpr double kMaxConservativeShare = 0.01;
 
--- a/src/capacity/model.cpp
+++ b/src/capacity/model.cpp
@@ -216,7 +216,7 @@
     "other";
 
 // The statements of a session at one pooler, from the first one there until the session ends or roams, with
-// writes and own-reads in random order.
+// writes and session reads in random order.
 struct SessionVisit {
   double no_write = 0;            // probability that it has no write
   double reads_before_write = 0;  // expected number
@@ -242,7 +242,7 @@
          kMessagesPerLeaseTransfer * TermValue(Term::kRoamingStatements, size) *
              (1 - VisitFromRoaming(size).no_write);
 }
-// Share of own-reads that then require the conservative position.
+// Share of session reads that then require the conservative position.
 double UnadmittedReadsShare(const FleetSize& size) {
   const double all = size.statements_per_s * size.own_reads_share / size.poolers;
   if (all <= 0) return 0;
--- a/src/capacity/slopes.h
+++ b/src/capacity/slopes.h
@@ -31,7 +31,7 @@
   kStatements,
   kWrites,
   kFleetWrites,
-  kSessionStatements,  // writes and own-reads: only these need watermarks
+  kSessionStatements,  // writes and session reads: only these need watermarks
   kFirstContacts,      // first session statements of a session at a pooler
   kRoamingStatements,
   kLeaseMessages,    // for first contacts and roaming statements, where sessions have leases
--- a/src/capacity/target.h
+++ b/src/capacity/target.h
@@ -28,8 +28,8 @@
   // Budget of one pooler for control: percent of a core, megabytes of 10^6 bytes, and bytes per second sent
   // and received together.
   double cpu_percent = 0, memory_mb = 0, bytes_per_s = 0;
-  // Writes and own-reads are percentages of all statements, roaming statements a percentage of writes and
-  // own-reads together. The units of the others are the last word of their names.
+  // Writes and session reads are percentages of all statements, roaming statements a percentage of writes and
+  // session reads together. The units of the others are the last word of their names.
   Assumption busiest_second_ratio, writes_percent, own_reads_percent, session_statements, roaming_percent,
       statement_bytes, region_round_trip_ms, restarts_at_once, clients_again_s, catch_up_s,
       configuration_bytes, database_connections, descriptors, members_of_a_group;
--- a/tests/capacity/capacity_test.cpp
+++ b/tests/capacity/capacity_test.cpp
@@ -506,7 +506,7 @@
             R"("statements_per_s":50,"writes_share":0.05,"roam_share":0.1,"changes_per_s":0,"commit":"abc",)"
             R"("owners":7},"figures":{}}])")) == "record 1: 'run.owners' is out of range");
   CHECK(read(64, R"(,"bytes_per_s":9000)").bytes_budget == 9'000);
-  // Many own-reads with the conservative position mean that their lease acquires were limited.
+  // Many session reads with the conservative position mean that their lease acquires were limited.
   CHECK(read(64, "", R"({"conservative_share":0.2})").reads_limited);
   CHECK_FALSE(read(64, "", R"({"conservative_share":0.002})").reads_limited);
   CHECK_FALSE(read(64, "").reads_limited);
