--- a/src/pooler.cpp
+++ b/src/pooler.cpp
@@ -167,7 +167,8 @@
   const auto& requests = proxy.counts();
   spdlog::info(
       "requests: received={} served={} rejected={} failed={} cancelled={} attempts={} health_checks={} "
-      "in_flight={} clients={} server_connections={} idle_server_connections={} discarded_responses={}",
+      "in_flight={} clients={} server_connections={} idle_server_connections={}"
+      " discarded_responses={}",
       requests.received, requests.served, requests.rejected, requests.failed, requests.cancelled,
       requests.attempts, requests.health_checks, proxy.requests_in_flight(), budget_.clients(),
       budget_.backends(), pool_.idle(), requests.discarded_responses);
--- a/tests/proxy/read_age_test.cpp
+++ b/tests/proxy/read_age_test.cpp
@@ -93,6 +93,21 @@
   std::size_t held_from = 0;
 };
 
+// A primary that has answered a strong read, and the replica that is going to take over.
+struct FailoverFleet : ReadFleet {
+  FailoverFleet()
+      : ReadFleet(AccessKind::kStrongRead),
+        former(AddServer(Answer("former", "primary"))),
+        successor(AddServer(Answer("successor", "primary"))) {
+    ReportPresent(former, true);
+    ReportPresent(successor, false);
+    ApplyEndpointList();
+    CompleteRead("former");
+  }
+  DataServer& former;
+  DataServer& successor;
+};
+
 // Guards against a bounded read that is routed to recent data and sent when they are too old, since its
 // connection came up late (review/10, issue 66).
 TEST_CASE(
@@ -121,13 +136,9 @@
 
 // Guards against a strong read that is sent to its former primary, since its connection came up late.
 TEST_CASE("a strong read that waits for its connection follows a change of primary") {
-  ReadFleet fleet(AccessKind::kStrongRead);
-  DataServer& former = fleet.AddServer(Answer("former", "primary"));
-  DataServer& successor = fleet.AddServer(Answer("successor", "primary"));
-  fleet.ReportPresent(former, true);
-  fleet.ReportPresent(successor, false);
-  fleet.ApplyEndpointList();
-  fleet.CompleteRead("former");
+  FailoverFleet fleet;
+  DataServer& former = fleet.former;
+  DataServer& successor = fleet.successor;
   fleet.HoldConnections(former);
   TestConnection& client = fleet.ConnectClient({RequestText("any", "k", 60000)});
   fleet.RunUntil([&] { return former.connections.size() > fleet.held_from; });
@@ -143,13 +154,9 @@
 
 // Guards against the answer of a former primary that had been replaced before the pooler heard of it.
 TEST_CASE("a strong read that is answered by a replica is sent to the new primary") {
-  ReadFleet fleet(AccessKind::kStrongRead);
-  DataServer& former = fleet.AddServer(Answer("former", "primary"));
-  DataServer& successor = fleet.AddServer(Answer("successor", "primary"));
-  fleet.ReportPresent(former, true);
-  fleet.ReportPresent(successor, false);
-  fleet.ApplyEndpointList();
-  fleet.CompleteRead("former");
+  FailoverFleet fleet;
+  DataServer& former = fleet.former;
+  DataServer& successor = fleet.successor;
   former.on_query = Answer("outdated", "standby");
   fleet.ReportPresent(former, false);
   fleet.ReportPresent(successor, true);
