--- a/src/capacity/as_it_stands.h
+++ b/src/capacity/as_it_stands.h
@@ -15,8 +15,8 @@
 constexpr double kTimelinesPerPacket = 8;
 constexpr double kTimelineRoundIntervalMs = 500;
 
-// Testbed: members of each group in the scale run, and the share of its reads that are session reads unless the
-// record has `own_reads_share`.
+// Testbed: members of each group in the scale run, and the share of its reads that are session reads unless
+// the record has `own_reads_share`.
 constexpr double kTestbedMembersPerGroup = 3;
 constexpr double kTestbedOwnReadsShare = 0.5;
 
--- a/src/capacity/measurements.h
+++ b/src/capacity/measurements.h
@@ -16,8 +16,8 @@
 struct FleetSize {
   double poolers = 0, databases = 0, clients = 0, statements_per_s = 0;
   double writes_share = 0, own_reads_share = 0;  // of statements, 0 to 1
-  // Share of session statements (writes and session reads) that reach another pooler than the previous statement
-  // of the same session did.
+  // Share of session statements (writes and session reads) that reach another pooler than the previous
+  // statement of the same session did.
   double roaming_share = 0;
   double session_statements = 0;  // per session until it ends or is idle for a lease; 0: never ends
   double lease_managers = 0;      // dedicated lease managers; 0: the poolers manage the leases
