End an attempt that must not be sent when it starts before it opens a connection

Cause: its send deadline armed the timer also where it had passed, or was the earliest of all times, whose distance to the loop's anchor overflows; a connection was opened for nothing. Found by reading.

Change: the attempt expires in Enqueue.

Measured: send_deadline_test 12 of 12 and read_age_test 5 of 5, with sanitizers.

--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -98,7 +98,7 @@
   attempt->deadline_timer.ScheduleAt(attempt->deadline, [this, weak = std::weak_ptr<Attempt>(attempt)] {
     if (const auto expired = weak.lock()) Abort(expired, Outcome::kTimeout);
   });
-  UpdateSendDeadline(*attempt);
+  if (!UpdateSendDeadline(*attempt)) return FinishAttempt(attempt, Outcome::kSendExpired);
   ArmSendTimer(attempt);
   server->waiting.push_back(std::move(attempt));
   AssignConnections(*server);
--- a/tests/upstream/send_deadline_test.cpp
+++ b/tests/upstream/send_deadline_test.cpp
@@ -119,6 +119,16 @@
   CHECK(fixture.pool.counts().expired_attempts == 1);
 }
 
+// Guards against a timer at the earliest of all times, and against connections for nothing.
+TEST_CASE("an attempt that must not be sent when it starts opens no connection") {
+  PoolFixture fixture;
+  fixture.send_deadline = TimePoint::min();
+  fixture.Send(1000);
+  REQUIRE(fixture.attempt_results.size() == 1);
+  CHECK(fixture.attempt_results[0].outcome == Outcome::kSendExpired);
+  CHECK(fixture.pool.counts().opened == 0);
+}
+
 TEST_CASE("an attempt whose send deadline is extended while it waits for a connection is sent") {
   PoolFixture fixture;
   fixture.server.accepts_startup = false;
