Test that an answer is judged by the role when its read was sent, and tell the trials

Cause: of 20 trials that take out one part of the mend each, two failed no test: the role noted at the sending, and the check of a response whose connection closes before its end.

Change: a case for the first.

The other 18 trials each fail a test.

--- a/tests/routing/balancer_send_deadline_test.cpp
+++ b/tests/routing/balancer_send_deadline_test.cpp
@@ -195,6 +195,19 @@
   EXPECT_TRUE(instance.MayServe(eventual, {std::nullopt, false}));
 }
 
+// Guards against a judgement by the role at the decision, where the attempt was sent by its position.
+TEST(ResponseOfAFormerPrimary, IsServedIfItWasSentAsThatOfAReplica) {
+  SimulatedInstance instance(UncheckedSettings());
+  instance.UpdateList({{.server = kPrimary, .group = kGroup, .primary = true}});
+  instance.ReportPrimaryAt(kPrimary, instance.now());
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  instance.Advance(10_ms);
+  instance.ReportReplicaAt(kPrimary, instance.now() - 5_ms);
+  EXPECT_FALSE(instance.MayServe(id, {std::nullopt, false}));
+  ASSERT_GT(instance.SendDeadlineOf(id), instance.now());  // asked as it is sent
+  EXPECT_TRUE(instance.MayServe(id, {std::nullopt, false}));
+}
+
 // Guards against stale data that look recent since the clock of this instance was set back before its start.
 TEST(ClockBehind, IsTakenOffThePositions) {
   UncheckedInstance instance;
