Believe no single position from the future, and take the clock's lead from primaries alone

A lagging replica showed too small a lead. Found by reading the change once more.

Change: the lead is the second largest of two reports of primaries, whose position is their clock's present time; a position later than its receipt allows by it proves nothing. ClockBehind had a fixture whose servers were first on one clock and then on another, and gave one report: it gives two now, and checks besides that nothing is sent before. Issue numbers are out of the tests' comments.

--- a/src/estimation/replica_position.cpp
+++ b/src/estimation/replica_position.cpp
@@ -18,9 +18,9 @@
 
 }  // namespace
 
-bool ReplicaPosition::RecordPosition(Instant now, Instant position, Instant received) {
-  const Instant at_receipt = std::min(position, received);
-  proven_by_receipt_ = std::max(at_receipt, proven_by_receipt_.value_or(at_receipt));
+bool ReplicaPosition::RecordPosition(Instant now, Instant position, const Receipt& receipt) {
+  const Instant time = position - receipt.clock_lead;
+  if (time <= receipt.at) proven_time_ = std::max(time, proven_time_.value_or(time));
   if (proven_ && position <= *proven_ && now - last_reported_at_ < kRepeatWindow) return false;
   proven_ = std::max(position, proven_.value_or(position));
   last_reported_at_ = now;
@@ -36,8 +36,8 @@
 }
 
 std::optional<Instant> ReplicaPosition::ProvenTime(Duration clock_lead) const {
-  if (!proven_) return std::nullopt;
-  return std::min(*proven_ - clock_lead, *proven_by_receipt_);
+  if (!proven_time_) return std::nullopt;
+  return std::min(*proven_ - clock_lead, *proven_time_);
 }
 
 Instant ReplicaPosition::ExpectedPosition(Instant now) const {
--- a/src/estimation/replica_position.h
+++ b/src/estimation/replica_position.h
@@ -19,15 +19,20 @@
 // The estimate for one server. Reads no clock.
 class ReplicaPosition {
  public:
-  // Records a report of the position. `now` is the time of the event, `received` that at which the report was
-  // read, which may be later. Returns false if it repeats a recent one.
-  bool RecordPosition(Instant now, Instant position, Instant received);
-  bool RecordPosition(Instant now, Instant position) { return RecordPosition(now, position, now); }
+  // When a report was read, and by how much the clock of the positions was known to be ahead then.
+  struct Receipt {
+    Instant at{};
+    Duration clock_lead{0};
+  };
+  // Records a report of the position. `now` is the time of the event; the report may have been read later.
+  // Returns false if it repeats a recent one.
+  bool RecordPosition(Instant now, Instant position, const Receipt& receipt);
+  bool RecordPosition(Instant now, Instant position) { return RecordPosition(now, position, {now}); }
 
   // Whether the server is proven to have reached `target`.
   bool IsProven(Instant target) const { return proven_ && *proven_ >= target; }
   // The time on the instance's clock up to which the server is proven to hold all commits, if the clock of
-  // the positions is ahead by `clock_lead`. Never later than when the report was read.
+  // the positions is ahead by `clock_lead`. Positions that were later than their receipt allows do not count.
   std::optional<Instant> ProvenTime(Duration clock_lead) const;
   // The position extrapolated to `now` at the measured apply rate, which is limited to the clock's.
   Instant ExpectedPosition(Instant now) const;
@@ -50,7 +55,7 @@
 
  private:
   std::optional<Instant> proven_;
-  std::optional<Instant> proven_by_receipt_;  // the newest position, each limited to when it was read
+  std::optional<Instant> proven_time_;  // the newest position on the instance's clock, each by its receipt
   Instant last_reported_at_{0};
   double apply_rate_ = 1;  // position time per clock time; 1 is assumed until it is measured
   bool is_apply_rate_measured_ = false;
--- a/src/routing/replication_state.cpp
+++ b/src/routing/replication_state.cpp
@@ -26,8 +26,11 @@
 void ReplicationState::RecordPosition(Server& server, LogPosition position,
                                       std::optional<TimePoint> received) {
   const Duration read_at = std::max(received.value_or(context_.now()), context_.now()).time_since_epoch();
-  servers_.GroupOf(server.group).clock_lead.Record(read_at, position.time_since_epoch());
-  if (server.position.RecordPosition(context_.now_since_epoch(), position.time_since_epoch(), read_at)) {
+  estimation::ClockLead& lead = servers_.GroupOf(server.group).clock_lead;
+  // Only a primary's position is the present time of its clock: a replica's would show too small a lead.
+  if (server.IsPrimary()) lead.Record(read_at, position.time_since_epoch());
+  if (server.position.RecordPosition(context_.now_since_epoch(), position.time_since_epoch(),
+                                     {read_at, lead.At(read_at)})) {
     context_.RequestRetryOfWaiting();
   }
 }
--- a/tests/estimation/estimation_test.cpp
+++ b/tests/estimation/estimation_test.cpp
@@ -263,35 +263,43 @@
   CHECK(first.MedianPatience() == 1);
 }
 
-// Guards against positions that look recent since the instance's own clock is behind.
-TEST_CASE(
-    "the lead of the positions' clock is the largest of the last ten seconds, and forgotten after twenty") {
+// Guards against positions that look recent since the instance's own clock is behind, and against a single
+// spoilt one that makes all others look old.
+TEST_CASE("the lead of the positions' clock is the second largest of the last ten to twenty seconds") {
   ClockLead lead;
   const auto at = [](int seconds) { return Duration(seconds * 1000000); };
   CHECK(lead.At(at(100)) == Duration{0});
   lead.Record(at(100), at(99));  // behind: says nothing
+  lead.Record(at(100), at(1000));
   CHECK(lead.At(at(100)) == Duration{0});
   lead.Record(at(100), at(107));
+  CHECK(lead.At(at(100)) == at(7));
   lead.Record(at(101), at(104));
   CHECK(lead.At(at(109)) == at(7));
   lead.Record(at(110), at(112));  // the next period
-  CHECK(lead.At(at(110)) == at(7));
+  lead.Record(at(110), at(113));
   CHECK(lead.At(at(119)) == at(7));
   CHECK(lead.At(at(120)) == at(2));
   CHECK(lead.At(at(130)) == Duration{0});
   lead.Record(at(200), at(201));  // what was seen long ago does not come back
+  lead.Record(at(200), at(201));
   CHECK(lead.At(at(200)) == at(1));
 }
 
-TEST_CASE("the proven time of a position is neither later than its receipt nor than its clock allows") {
+// Guards against a position from the future that proves any age.
+TEST_CASE(
+    "a position counts for its time on the instance's clock, and not if that is later than its receipt") {
   ReplicaPosition position;
   CHECK_FALSE(position.ProvenTime(Duration{0}).has_value());
-  position.RecordPosition(Duration(1000), Duration(900), Duration(1050));
+  position.RecordPosition(Duration(1000), Duration(5000), {Duration(1050)});
+  CHECK_FALSE(position.ProvenTime(Duration{0}).has_value());
+  position.RecordPosition(Duration(1000), Duration(900), {Duration(1050)});
   CHECK(position.ProvenTime(Duration{0}) == Duration(900));
-  CHECK(position.ProvenTime(Duration(300)) == Duration(600));
-  position.RecordPosition(Duration(200000), Duration(900000), Duration(210000));
-  CHECK(position.ProvenTime(Duration{0}) == Duration(210000));
-  CHECK(position.ProvenTime(Duration(800000)) == Duration(100000));
+  position.RecordPosition(Duration(200000), Duration(900000), {Duration(210000), Duration(700000)});
+  CHECK(position.ProvenTime(Duration(700000)) == Duration(200000));
+  CHECK(position.ProvenTime(Duration(750000)) == Duration(150000));
+  position.RecordPosition(Duration(300000), Duration(9000000), {Duration(310000), Duration(700000)});
+  CHECK(position.ProvenTime(Duration(700000)) == Duration(200000));
 }
 
 }  // namespace
--- a/tests/proxy/read_age_test.cpp
+++ b/tests/proxy/read_age_test.cpp
@@ -109,7 +109,7 @@
 };
 
 // Guards against a bounded read that is routed to recent data and sent when they are too old, since its
-// connection came up late (review/10, issue 66).
+// connection came up late.
 TEST_CASE(
     "a bounded read whose connection comes up after its bound waits for "
     "a newer position") {
--- a/tests/routing/balancer_send_deadline_test.cpp
+++ b/tests/routing/balancer_send_deadline_test.cpp
@@ -24,7 +24,7 @@
   }
 };
 
-// Guards against a read that is judged when it is routed and sent when its data are too old (issue 66).
+// Guards against a read that is judged when it is routed and sent when its data are too old.
 TEST(SendDeadline, IsTheProvenPositionPlusTheBound) {
   UncheckedInstance instance;
   const TimePoint decided = instance.now();
@@ -210,11 +210,18 @@
 
 // Guards against stale data that look recent since the clock of this instance was set back before its start.
 TEST(ClockBehind, IsTakenOffThePositions) {
-  UncheckedInstance instance;
+  SimulatedInstance instance(UncheckedSettings());
+  instance.UpdateList(ThreeServers());
   constexpr Duration kAhead = 3600000_ms;  // the clock of the servers
-  instance.ReportPrimaryAt(kPrimary, instance.now() + kAhead);
   instance.ReportReplicaAt(kReplicaA, instance.now() + kAhead - 5000_ms);
   instance.ReportReplicaAt(kReplicaB, instance.now() + kAhead - 5000_ms);
+  const RequestId early = instance.SendRequest(kBoundedRead);
+  EXPECT_EQ(instance.AttemptsOf(early), 0u);  // the clock is wrong, and nobody knows by how much
+  for (int i = 0; i < 2; ++i) {
+    instance.Advance(1_ms);
+    instance.ReportPrimaryAt(kPrimary, instance.now() + kAhead);
+    instance.ReportReplicaAt(kReplicaA, instance.now() + kAhead - 4999_ms);
+  }
   const RequestId id = instance.SendRequest(kBoundedRead);
   EXPECT_EQ(instance.AttemptsOf(id), 0u);
   instance.ReportReplicaAt(kReplicaB, instance.now() + kAhead - 40_ms);
@@ -223,6 +230,23 @@
   EXPECT_EQ(instance.SendDeadlineOf(id), instance.now() - 40_ms + kBound);
 }
 
+// Guards against a group whose reads are refused, or served by old data, since one position was spoilt.
+TEST(PositionAhead, OfASingleReportIsIgnored) {
+  UncheckedInstance instance;
+  instance.ReportReplicaAt(kReplicaB, instance.now() + 3600000_ms);
+  instance.ReportPrimaryAt(kPrimary, instance.now() + 7200000_ms);
+  const RequestId id = instance.SendRequest(kBoundedRead);
+  ASSERT_EQ(instance.AttemptsOf(id), 1u);
+  EXPECT_EQ(instance.LastServerOf(id), kReplicaA);
+  EXPECT_EQ(instance.SendDeadlineOf(id), instance.now() - 100_ms + kBound);
+  instance.Advance(500_ms);
+  instance.ReportReplicaAt(kReplicaB, instance.now() - 20_ms);
+  const RequestId later = instance.SendRequest(kBoundedRead);
+  ASSERT_EQ(instance.AttemptsOf(later), 1u);
+  EXPECT_EQ(instance.LastServerOf(later), kReplicaB);
+  EXPECT_EQ(instance.SendDeadlineOf(later), instance.now() - 20_ms + kBound);
+}
+
 // Guards against a commit time that is rounded up and taken for a position.
 TEST(CommitTime, ProvesThePositionBeforeItsRounding) {
   SimulatedInstance instance(UncheckedSettings());
--- a/tests/upstream/send_deadline_test.cpp
+++ b/tests/upstream/send_deadline_test.cpp
@@ -148,7 +148,7 @@
   fixture.server.accepts_startup = false;
   fixture.Send(1000);
   RunLoopUntil([&] { return fixture.server.connections.size() == 1; }, fixture.loop);
-  fixture.send_deadline = TimePoint::min();  // as its server is no longer the primary
+  fixture.send_deadline = TimePoint::min();  // its server has lost the primary role
   fixture.server.connections[0]->Send(StartupResponse());
   RunLoopUntil([&] { return fixture.attempt_results.size() == 1; }, fixture.loop);
   CHECK(fixture.attempt_results[0].outcome == Outcome::kSendExpired);
